--- /dev/null
+++ b/jest.config.js
@@ -0,0 +1,19 @@
+'use strict';
+
+/** Tests run against the TypeScript sources, so that no build is needed between edit and test. */
+module.exports = {
+  rootDir: __dirname,
+  roots: ['<rootDir>/packages'],
+  testMatch: ['**/__tests__/**/*.test.ts'],
+  testPathIgnorePatterns: ['/node_modules/', '/dist/'],
+  modulePathIgnorePatterns: ['/dist/'],
+  moduleNameMapper: {
+    '^@cuminsill/([a-z_]+)$': '<rootDir>/packages/$1/src/index.ts',
+  },
+  transform: {
+    '^.+\\.ts$': [
+      '@swc/jest',
+      {jsc: {parser: {syntax: 'typescript'}, target: 'es2022'}, module: {type: 'commonjs'}},
+    ],
+  },
+};
--- /dev/null
+++ b/packages/logger/src/index.ts
@@ -0,0 +1,3 @@
+/** Logs and metrics. */
+export * from './logger';
+export * from './metrics';
--- /dev/null
+++ b/packages/utils/src/index.ts
@@ -0,0 +1,6 @@
+/** Small tools without knowledge of traffic steering. */
+export * from './hash';
+export * from './random';
+export * from './rendezvous';
+export * from './time';
+export * from './token_bucket';
--- /dev/null
+++ b/packages/utils/src/token_bucket.ts
@@ -0,0 +1,42 @@
+/** Token bucket: limits a rate and allows short bursts. */
+import type {TimeSource} from './time';
+
+/** Refills at a steady rate up to a burst size. */
+export class TokenBucket {
+  private tokens: number;
+  private refilledAtMs: number;
+
+  /**
+   * @param ratePerS Tokens added per second.
+   * @param burst Largest number of tokens held.
+   */
+  constructor(
+    private readonly ratePerS: number,
+    private readonly burst: number,
+    private readonly time: TimeSource,
+  ) {
+    this.tokens = burst;
+    this.refilledAtMs = time.monotonicMs();
+  }
+
+  /** Takes one token; false when none is left. */
+  tryTake(): boolean {
+    this.refill();
+    if (this.tokens < 1) return false;
+    this.tokens -= 1;
+    return true;
+  }
+
+  /** Milliseconds until a token is there; 0 when one is. */
+  waitMs(): number {
+    this.refill();
+    return this.tokens >= 1 ? 0 : Math.ceil(((1 - this.tokens) / this.ratePerS) * 1000);
+  }
+
+  private refill(): void {
+    const nowMs = this.time.monotonicMs();
+    const elapsedMs = Math.max(0, nowMs - this.refilledAtMs);
+    this.tokens = Math.min(this.burst, this.tokens + (elapsedMs / 1000) * this.ratePerS);
+    this.refilledAtMs = nowMs;
+  }
+}
