--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -1,2 +1,5 @@
-/** Generated messages and services of the protocol between the system's own processes. */
+/** The protocol between the system's own processes: generated messages, clients and the peer port. */
 export * from './gen/cuminsill/v1/peer_pb';
+export * from './peer_client';
+export * from './peer_key';
+export * from './peer_server';
--- a/packages/validation/src/index.ts
+++ b/packages/validation/src/index.ts
@@ -2,3 +2,4 @@
 export * from './decode';
 export * from './domain_schemas';
 export * from './fields';
+export * from './settings';
