--- /dev/null
+++ b/packages/entry/src/client_block_table.ts
@@ -0,0 +1,72 @@
+/**
+ * Finds the region of a caller by its address: longest-prefix match over the client blocks. IPv4 blocks are grouped by
+ * prefix length, so a look-up costs at most one map access for each length in use, whatever the number of blocks.
+ */
+import {isIPv4} from 'node:net';
+import type {ClientBlock} from '@cuminsill/types';
+
+interface PrefixLength {
+  readonly bits: number;
+  readonly mask: number;
+  /** Index of the region by network address. */
+  readonly regionIndexByNetwork: Map<number, number>;
+}
+
+/** Address blocks of callers with their regions. */
+export class ClientBlockTable {
+  private readonly lengths: readonly PrefixLength[];
+  private readonly regionIds: string[] = [];
+
+  /** Blocks that are not valid IPv4 prefixes are left out; their callers count as unknown. */
+  constructor(blocks: readonly ClientBlock[]) {
+    const byBits = new Map<number, PrefixLength>();
+    const indexByRegion = new Map<string, number>();
+    for (const block of blocks) {
+      const prefix = parsePrefix(block.prefix);
+      if (prefix === undefined) continue;
+      const length = byBits.get(prefix.bits) ?? newPrefixLength(prefix.bits);
+      byBits.set(prefix.bits, length);
+      const regionIndex =
+        indexByRegion.get(block.regionId) ?? this.regionIds.push(block.regionId) - 1;
+      indexByRegion.set(block.regionId, regionIndex);
+      length.regionIndexByNetwork.set((prefix.address & length.mask) >>> 0, regionIndex);
+    }
+    this.lengths = [...byBits.values()].sort((a, b) => b.bits - a.bits);
+  }
+
+  /** Region of the most specific block that holds the address; undefined when there is none. */
+  regionOf(address: string): string | undefined {
+    const value = parseAddress(address);
+    if (value === undefined) return undefined;
+    for (const length of this.lengths) {
+      const index = length.regionIndexByNetwork.get((value & length.mask) >>> 0);
+      if (index !== undefined) return this.regionIds[index];
+    }
+    return undefined;
+  }
+}
+
+function newPrefixLength(bits: number): PrefixLength {
+  const mask = bits === 0 ? 0 : (0xffffffff << (32 - bits)) >>> 0;
+  return {bits, mask, regionIndexByNetwork: new Map()};
+}
+
+function parsePrefix(
+  prefix: string,
+): {readonly address: number; readonly bits: number} | undefined {
+  const [host, bitsText] = prefix.split('/');
+  const bits = Number(bitsText ?? '32');
+  const address = parseAddress(host ?? '');
+  if (address === undefined || !Number.isInteger(bits) || bits < 0 || bits > 32) return undefined;
+  return {address, bits};
+}
+
+const mappedPrefix = '::ffff:';
+
+function parseAddress(address: string): number | undefined {
+  const text = address.startsWith(mappedPrefix) ? address.slice(mappedPrefix.length) : address;
+  if (!isIPv4(text)) return undefined;
+  let value = 0;
+  for (const part of text.split('.')) value = (value << 8) | Number(part);
+  return value >>> 0;
+}
--- /dev/null
+++ b/packages/entry/src/finish_answer.ts
@@ -0,0 +1,63 @@
+/** Relays a target's response and gives its slot back once the target is done with the request. */
+import type {AttemptResult} from '@cuminsill/steering';
+import {Effect} from 'effect';
+import type {Flight, ForwarderParts} from './forwarder_parts';
+import type {RelayEnd} from './relay_response';
+import {relayResponse} from './relay_response';
+import type {Answered} from './try_targets';
+
+/**
+ * Relays the response until it ends or the deadline passes; at the deadline both connections are closed, so the caller sees
+ * an incomplete response.
+ * @param keepBytes Largest body that the result keeps, in bytes.
+ */
+export function finishAnswer(
+  parts: ForwarderParts,
+  flight: Flight,
+  answered: Answered,
+  keepBytes: number,
+): Effect.Effect<RelayEnd> {
+  const {call} = flight;
+  const {response, assignment, startedAtMs} = answered;
+  const status = response.statusCode ?? 0;
+  const release = (result: AttemptResult) =>
+    Effect.sync(() => {
+      const durationMs = parts.time.monotonicMs() - startedAtMs;
+      parts.steering.release(assignment, result, durationMs);
+      recordAnswer(parts, flight, status, durationMs);
+    });
+  parts.retryBudgetOf(call.contract.id).recordSuccess();
+  const remainingMs = Math.max(0, call.deadlineMs - parts.time.monotonicMs());
+  return relayResponse(response, flight.response, {
+    keepBytes,
+    headers: {'x-request-id': call.requestId},
+    finishWithoutCaller: !call.idempotent,
+    remainingMs,
+  }).pipe(
+    Effect.tap(end => release(resultOfRelay(end, status))),
+    Effect.onInterrupt(() => release('cancelled')),
+  );
+}
+
+function resultOfRelay(end: RelayEnd, status: number): AttemptResult {
+  if (end.kind === 'cut') return 'connection-lost';
+  if (end.kind === 'caller-gone') return 'cancelled';
+  return status >= 500 ? 'failed' : 'answered';
+}
+
+function recordAnswer(
+  parts: ForwarderParts,
+  flight: Flight,
+  status: number,
+  durationMs: number,
+): void {
+  const {call} = flight;
+  const tags = {
+    service: call.contract.id,
+    class: call.contract.trafficClass,
+    tenant: call.tenant,
+    status: String(status),
+  };
+  parts.metrics.count('requests.answered', 1, tags);
+  parts.metrics.histogram('requests.latency_ms', durationMs, tags);
+}
--- /dev/null
+++ b/packages/entry/src/forwarder.ts
@@ -0,0 +1,51 @@
+/**
+ * Serves one caller's request from its checked head to its final answer. Each request is one fiber, so a caller
+ * that goes away interrupts whatever its request waits for.
+ */
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import {ResultError, resultCodes} from '@cuminsill/types';
+import {digest} from '@cuminsill/utils';
+import {Effect} from 'effect';
+import type {Call} from './call';
+import type {Flight, ForwarderParts} from './forwarder_parts';
+import {serveIdempotent} from './serve_idempotent';
+import {serveOnce} from './serve_once';
+import {BodyTooLargeError, ReplayBody} from './replay_body';
+
+/** Forwards requests. */
+export class Forwarder {
+  constructor(private readonly parts: ForwarderParts) {}
+
+  /** Serves a request. Fails with the refusal to send when no response was begun. */
+  serve(
+    call: Call,
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Effect.Effect<void, ResultError> {
+    const {poison, replayBufferBytes, maxBodyBytes} = this.parts;
+    const {parts} = this;
+    return Effect.gen(function* () {
+      const body = yield* readBody(request, replayBufferBytes, maxBodyBytes);
+      const fingerprint = digest(call.contract.id, call.method, call.targetPath, body.kept);
+      if (poison.isQuarantined(fingerprint)) {
+        return yield* Effect.fail(new ResultError(resultCodes.quarantined));
+      }
+      const flight: Flight = {call, request, response, body, fingerprint};
+      yield* call.idempotent ? serveIdempotent(parts, flight) : serveOnce(parts, flight);
+    });
+  }
+}
+
+function readBody(
+  request: IncomingMessage,
+  keepBytes: number,
+  maxBodyBytes: number,
+): Effect.Effect<ReplayBody, ResultError> {
+  return ReplayBody.read(request, keepBytes, maxBodyBytes).pipe(
+    Effect.mapError(error =>
+      error instanceof BodyTooLargeError
+        ? new ResultError(resultCodes.bodyTooLarge, `The limit is ${maxBodyBytes} bytes.`)
+        : new ResultError(resultCodes.callerCancelled),
+    ),
+  );
+}
--- /dev/null
+++ b/packages/entry/src/forwarder_parts.ts
@@ -0,0 +1,37 @@
+/** What forwarding works with, and a request on its way. */
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {Metrics} from '@cuminsill/logger';
+import type {PoisonDecisions, RetryBudget, SteeringDecisions} from '@cuminsill/steering';
+import type {TimeSource} from '@cuminsill/utils';
+import type {Call} from './call';
+import type {OperationClaims} from './operation_claims';
+import type {ReplayBody} from './replay_body';
+import type {TargetConnections} from './target_connections';
+
+/** What forwarding works with. */
+export interface ForwarderParts {
+  readonly steering: SteeringDecisions;
+  readonly poison: PoisonDecisions;
+  readonly retryBudgetOf: (serviceId: string) => RetryBudget;
+  readonly claims: OperationClaims;
+  readonly connections: TargetConnections;
+  readonly metrics: Metrics;
+  readonly time: TimeSource;
+  /** Tells the other instances at once that a request took a target down, or that a target is leaving. */
+  readonly spreadNow: () => void;
+  readonly replayBufferBytes: number;
+  readonly maxBodyBytes: number;
+  readonly maxAttempts: number;
+  /** How long to wait for the late answer of a non-idempotent operation, in milliseconds. */
+  readonly lateWaitMs: number;
+}
+
+/** A request on its way. */
+export interface Flight {
+  readonly call: Call;
+  readonly request: IncomingMessage;
+  readonly response: ServerResponse;
+  readonly body: ReplayBody;
+  /** Identifies the request, so that the same one is recognised when it comes again. */
+  readonly fingerprint: string;
+}
--- /dev/null
+++ b/packages/entry/src/try_targets.ts
@@ -0,0 +1,199 @@
+/**
+ * Attempts at targets until one responds. An attempt is repeated only when that is safe: a non-idempotent request after
+ * attempts that provably did not run, an idempotent one also once after a lost connection.
+ */
+import type {IncomingMessage} from 'node:http';
+import type {Assignment, AttemptResult} from '@cuminsill/steering';
+import {ResultError, resultCodes} from '@cuminsill/types';
+import {Effect} from 'effect';
+import type {Call} from './call';
+import type {Flight, ForwarderParts} from './forwarder_parts';
+import type {AttemptEnd, LateEnd} from './send_to_target';
+import {endToEndHeaders, sendToTarget} from './send_to_target';
+
+/** A response whose body still has to be relayed, and the slot that it holds. */
+export interface Answered {
+  readonly response: IncomingMessage;
+  readonly assignment: Assignment;
+  readonly startedAtMs: number;
+}
+
+/** No target responded in time. */
+export class AttemptsFailed {
+  /**
+   * @param refusal What the caller is told; its outcome is true for all attempts together.
+   * @param late Waits for a late response; undefined when nothing is on its way any more.
+   */
+  constructor(
+    readonly refusal: ResultError,
+    readonly late?: Effect.Effect<LateEnd>,
+  ) {}
+}
+
+interface Progress {
+  readonly excludedTargetIds: readonly string[];
+  readonly attempts: number;
+  readonly lostConnections: number;
+}
+
+const leavingHeader = 'x-target-state';
+
+/** Tries targets until one responds. */
+export function tryTargets(
+  parts: ForwarderParts,
+  flight: Flight,
+): Effect.Effect<Answered, AttemptsFailed> {
+  return Effect.gen(function* () {
+    let progress: Progress = {excludedTargetIds: [], attempts: 0, lostConnections: 0};
+    for (;;) {
+      const assignment = yield* assignTarget(parts, flight.call, progress);
+      const startedAtMs = parts.time.monotonicMs();
+      const end = yield* attemptTarget(parts, flight, assignment);
+      const result = classifyAttempt(end, flight.call);
+      if (end.kind === 'responded') noteLeaving(parts, end.response, assignment);
+      if (end.kind === 'responded' && result !== 'shed') {
+        return {response: end.response, assignment, startedAtMs};
+      }
+      if (end.kind === 'responded') end.response.resume();
+      const late = releaseAfter(parts, assignment, end, result, startedAtMs);
+      progress = advance(progress, assignment, result);
+      noteLostTarget(parts, flight, assignment, end);
+      const refusal = refusalAfter(parts, flight, end, result, progress);
+      if (refusal !== undefined) return yield* Effect.fail(new AttemptsFailed(refusal, late));
+    }
+  });
+}
+
+function advance(progress: Progress, assignment: Assignment, result: AttemptResult): Progress {
+  return {
+    excludedTargetIds: [...progress.excludedTargetIds, assignment.target.id],
+    attempts: progress.attempts + 1,
+    lostConnections: progress.lostConnections + (result === 'connection-lost' ? 1 : 0),
+  };
+}
+
+/** Waits for a slot; this wait ends when the caller goes away, even while an operation is claimed. */
+function assignTarget(
+  parts: ForwarderParts,
+  call: Call,
+  progress: Progress,
+): Effect.Effect<Assignment, AttemptsFailed> {
+  const request = {
+    serviceId: call.contract.id,
+    callerRegionId: call.callerRegionId,
+    trafficClass: call.contract.trafficClass,
+    deadlineMs: call.deadlineMs,
+    excludedTargetIds: progress.excludedTargetIds,
+  };
+  return Effect.async<Assignment, AttemptsFailed>(resume => {
+    const cancel = parts.steering.assign(request, result => {
+      if (!(result instanceof ResultError)) {
+        resume(Effect.succeed(result));
+        return;
+      }
+      // After a lost connection "not run" would no longer be true.
+      const refusal =
+        progress.lostConnections > 0 ? new ResultError(resultCodes.targetFailed) : result;
+      resume(Effect.fail(new AttemptsFailed(refusal)));
+    });
+    return Effect.sync(cancel);
+  }).pipe(Effect.interruptible);
+}
+
+function attemptTarget(
+  parts: ForwarderParts,
+  flight: Flight,
+  assignment: Assignment,
+): Effect.Effect<AttemptEnd> {
+  const {call, body, request} = flight;
+  const remainingMs = call.deadlineMs - parts.time.monotonicMs();
+  if (remainingMs <= 0) return Effect.succeed({kind: 'timed-out-unsent'});
+  return sendToTarget({
+    call,
+    body,
+    target: assignment.target,
+    headers: endToEndHeaders(request.headers),
+    connections: parts.connections,
+    remainingMs,
+    lateWaitMs: call.idempotent ? 0 : parts.lateWaitMs,
+  }).pipe(
+    Effect.onInterrupt(() => Effect.sync(() => parts.steering.release(assignment, 'cancelled', 0))),
+  );
+}
+
+/** Gives the slot back, at once or, when a late response is awaited, with it. */
+function releaseAfter(
+  parts: ForwarderParts,
+  assignment: Assignment,
+  end: AttemptEnd,
+  result: AttemptResult,
+  startedAtMs: number,
+): Effect.Effect<LateEnd> | undefined {
+  const release = () =>
+    parts.steering.release(assignment, result, parts.time.monotonicMs() - startedAtMs);
+  if (end.kind !== 'timed-out') {
+    release();
+    return undefined;
+  }
+  return end.late.pipe(Effect.tap(() => Effect.sync(release)));
+}
+
+/** The refusal that ends the attempts; undefined when another attempt is allowed. */
+function refusalAfter(
+  parts: ForwarderParts,
+  flight: Flight,
+  end: AttemptEnd,
+  result: AttemptResult,
+  progress: Progress,
+): ResultError | undefined {
+  const {call, body} = flight;
+  const mayHaveRun = progress.lostConnections > 0;
+  if (end.kind === 'timed-out') return new ResultError(resultCodes.deadlineExceeded);
+  if (end.kind === 'timed-out-unsent') {
+    return new ResultError(
+      mayHaveRun ? resultCodes.deadlineExceeded : resultCodes.deadlineTooShort,
+    );
+  }
+  if (result === 'connection-lost' && !call.idempotent) {
+    return new ResultError(resultCodes.outcomeUnknown);
+  }
+  const mayRetry =
+    progress.lostConnections <= 1 &&
+    progress.attempts < parts.maxAttempts &&
+    body.canSend &&
+    parts.retryBudgetOf(call.contract.id).tryRetry();
+  if (mayRetry) return undefined;
+  if (mayHaveRun) return new ResultError(resultCodes.targetFailed);
+  const detail = `${progress.attempts} targets did not take the request.`;
+  return new ResultError(resultCodes.retriesExhausted, detail);
+}
+
+function classifyAttempt(end: AttemptEnd, call: Call): AttemptResult {
+  if (end.kind === 'timed-out-unsent') return 'timed-out';
+  if (end.kind !== 'responded') return end.kind;
+  const status = end.response.statusCode ?? 0;
+  if (call.contract.notRunStatuses.includes(status)) return 'shed';
+  return status >= 500 ? 'failed' : 'answered';
+}
+
+function noteLeaving(
+  parts: ForwarderParts,
+  response: IncomingMessage,
+  assignment: Assignment,
+): void {
+  if (response.headers[leavingHeader] !== 'leaving') return;
+  parts.steering.markLeaving(assignment.target.id);
+  parts.spreadNow();
+}
+
+function noteLostTarget(
+  parts: ForwarderParts,
+  flight: Flight,
+  assignment: Assignment,
+  end: AttemptEnd,
+): void {
+  // A target may close an idle connection at any time; that says nothing of the request.
+  if (end.kind !== 'connection-lost' || end.reusedConnection) return;
+  parts.poison.recordLostTarget(flight.fingerprint, assignment.target.id);
+  parts.spreadNow();
+}
--- a/packages/types/src/result_codes.ts
+++ b/packages/types/src/result_codes.ts
@@ -277,10 +277,12 @@
   /**
    * @param result The numbered result.
    * @param detail What led to it, in plain words; empty when the reason says it all.
+   * @param retryAfterS When the caller should try again, in seconds; undefined when nothing better is known.
    */
   constructor(
     readonly result: ResultCode,
     readonly detail = '',
+    readonly retryAfterS?: number,
   ) {
     super(detail === '' ? result.reason : `${result.reason} ${detail}`);
   }
