--- /dev/null
+++ b/packages/claims/__tests__/claim_shard.test.ts
@@ -0,0 +1,153 @@
+import {Effect} from 'effect';
+import type {ClaimOutcome} from '../src';
+import {claimIdOf, maxKeptBodyBytes, retentionMs} from '../src';
+import {AuthorityHarness} from './authority_harness';
+
+const run = (bytes: number): ClaimOutcome => ({
+  outcome: 'run',
+  answer: {status: 201, contentType: 'text/plain', body: new Uint8Array(bytes).fill(7)},
+});
+
+describe('claim shards', () => {
+  let harness: AuthorityHarness;
+
+  beforeEach(() => {
+    harness = new AuthorityHarness();
+  });
+
+  // Guards against a retry that is granted while an earlier attempt may have run.
+  it.each([
+    [{outcome: 'not-run'} as const, 'granted', 'not-run'],
+    [{outcome: 'unknown'} as const, 'unknown', 'unknown'],
+    [run(10), 'run', 'run'],
+  ])('after the outcome %j a retry is answered "%s"', (outcome, retryState, outcomeState) => {
+    const owner = harness.authority('a');
+    const first = harness.request('k');
+    expect(harness.time.run(owner.claim(first)).state).toBe('granted');
+    expect(harness.time.run(owner.claim(harness.request('k', 'entry#2'))).state).toBe(
+      'in-progress',
+    );
+    expect(harness.time.run(owner.complete('k', claimIdOf(first), outcome))).toBe('recorded');
+    expect(harness.time.run(owner.outcomeOf('k')).state).toBe(outcomeState);
+    expect(harness.time.run(owner.claim(harness.request('k', 'entry#3'))).state).toBe(retryState);
+  });
+
+  // Guards against answers over 1 KiB that fill the checkpoint.
+  it.each([
+    [maxKeptBodyBytes, maxKeptBodyBytes],
+    [maxKeptBodyBytes + 1, undefined],
+  ])('of a body of %i bytes keeps %s', (bodyBytes, keptBytes) => {
+    const owner = harness.authority('a');
+    const first = harness.request('k');
+    harness.time.run(owner.claim(first));
+    harness.time.run(owner.complete('k', claimIdOf(first), run(bodyBytes)));
+    const answer = harness.time.run(owner.claim(harness.request('k', 'entry#2')));
+    expect(answer.state === 'run' && answer.answer.body?.byteLength).toBe(keptBytes);
+  });
+
+  it('refuses the same key with another request', () => {
+    const owner = harness.authority('a');
+    harness.time.run(owner.claim(harness.request('k')));
+    const reused = owner.claim(harness.request('k', 'entry#2', 'other'));
+    expect(harness.time.run(reused).state).toBe('key-reused');
+  });
+
+  // Guards against a grant without a durable record, and against a key that is lost after an outage.
+  it.each([
+    ['answer-lost-after-write', 'granted', 'in-progress'],
+    ['answer-lost-before-write', 'unavailable', 'granted'],
+    ['unavailable', 'unavailable', 'granted'],
+  ] as const)('with %s answers "%s", and "%s" after the fault', (fault, during, after) => {
+    const owner = harness.authority('a');
+    harness.time.run(owner.claim(harness.request('other')));
+    harness.failRecordWrites(fault);
+    expect(harness.time.run(owner.claim(harness.request('k'))).state).toBe(during);
+    harness.failRecordWrites('none');
+    harness.time.advance(10_000);
+    expect(harness.time.run(owner.claim(harness.request('k', 'entry#2'))).state).toBe(after);
+  });
+
+  // Guards against a paused owner that grants, or says "not run", after its shard has moved.
+  it('an owner whose position is taken grants nothing and does not say "not run"', () => {
+    const former = harness.authority('a', {ownerOf: () => 'a'});
+    const next = harness.authority('b', {ownerOf: () => 'b'});
+    harness.time.run(former.claim(harness.request('before')));
+    expect(harness.time.run(next.claim(harness.request('k'))).state).toBe('granted');
+    expect(harness.time.run(former.outcomeOf('k')).state).toBe('not-owner');
+    harness.time.advance(5_000);
+    expect(harness.time.run(former.claim(harness.request('k', 'entry#2'))).state).toBe('unknown');
+    expect(former.counts()[0]).toMatchObject({takeovers: 2, stepDowns: 1});
+  });
+
+  // Guards against a claim of a former owner that is granted again, or stays unknown after its report.
+  it.each([
+    [{outcome: 'not-run'} as const, 'granted'],
+    [{outcome: 'unknown'} as const, 'unknown'],
+    [run(1), 'run'],
+  ])('a new owner treats an open claim as unknown until %j is reported', (outcome, state) => {
+    const first = harness.request('k');
+    harness.time.run(harness.authority('a').claim(first));
+    harness.owner = 'b';
+    const next = harness.authority('b');
+    expect(harness.time.run(next.claim(harness.request('k', 'entry#2'))).state).toBe('unknown');
+    expect(harness.time.run(next.complete('k', claimIdOf(first), outcome))).toBe('recorded');
+    expect(harness.time.run(next.claim(harness.request('k', 'entry#3'))).state).toBe(state);
+  });
+
+  // Guards against a delayed claim message that blocks the key after its attempt has withdrawn it.
+  it('does not grant a claim that was withdrawn before it arrived', () => {
+    const owner = harness.authority('a');
+    const late = harness.request('k');
+    harness.time.run(owner.complete('k', claimIdOf(late), {outcome: 'not-run'}));
+    expect(harness.time.run(owner.claim(late)).state).toBe('unavailable');
+    expect(harness.time.run(owner.claim(harness.request('k', 'entry#2'))).state).toBe('granted');
+  });
+
+  // Guards against a write per request, and against a wait when the shard is idle.
+  it('carries all waiting claims in one append and is limited to 10 appends a second', () => {
+    const owner = harness.authority('a');
+    harness.time.run(owner.claim(harness.request('warm-up')));
+    harness.time.advance(1_000);
+    const before = harness.store.callCounts().writes;
+    for (let index = 0; index < 1_000; index += 1) {
+      harness.time.start(owner.claim(harness.request(`k${index}`, `entry#${index}`)));
+      harness.time.advance(1);
+    }
+    expect(harness.store.callCounts().writes - before).toBeLessThanOrEqual(11);
+    const startedAtMs = harness.time.nowMs() + 1_000;
+    harness.time.advance(1_000);
+    harness.time.run(owner.claim(harness.request('after a pause', 'entry#x')));
+    expect(harness.time.nowMs()).toBe(startedAtMs);
+  });
+
+  // Guards against state that is lost when records are trimmed, and against a log that grows for ever.
+  it('restores claims from a checkpoint after trimming, and forgets them after the retention', () => {
+    const owner = harness.authority('a');
+    const first = harness.request('k');
+    harness.time.run(owner.claim(first));
+    harness.time.run(owner.complete('k', claimIdOf(first), run(1)));
+    harness.time.advance(3 * 3_600_000);
+    expect(harness.store.keys()).toEqual(['claims/0/checkpoint', 'claims/shards']);
+    harness.owner = 'b';
+    const next = harness.authority('b');
+    expect(harness.time.run(next.claim(harness.request('k', 'entry#2'))).state).toBe('run');
+    harness.time.advance(retentionMs);
+    expect(harness.time.run(next.claim(harness.request('k', 'entry#3'))).state).toBe('granted');
+  });
+
+  // Guards against two numbers of shards, which would map a key to two logs.
+  it('refuses claims when its number of shards differs from the deployment', () => {
+    harness.time.run(harness.authority('a').claim(harness.request('k')));
+    const other = harness.authority('a', {shardCount: 2});
+    expect(harness.time.run(other.claim(harness.request('k2'))).state).toBe('unavailable');
+  });
+
+  // Guards against a record that is skipped because it cannot be read.
+  it('serves nothing when a record in its log is not valid', () => {
+    const nonce = ' '.repeat(36);
+    const key = 'claims/0/log/000000000001';
+    Effect.runSync(harness.store.create(key, Buffer.from(`${nonce}{"claims":[]}`)));
+    const owner = harness.authority('a');
+    expect(harness.time.run(owner.claim(harness.request('k'))).state).toBe('unavailable');
+  });
+});
