Make, sign and confirm plans

An operator has to see what an intent changes before it takes effect. makePlan compares two views of the traffic, without and with the change, and gives share changes, ramp positions at half the cap per window, duration, headroom and risks. Plans are signed, so any instance can confirm a plan of another one.

Decided here: - An overload blocks only when the plan causes or raises it; otherwise no plan could relieve an overloaded region. - When a drain takes a region's last target, the traffic fails over at once. Such a move has no steps and carries a warning that says so. - Measured load above the configured demand is scaled onto the callers that send it there, so that only the share that moves changes region. - Old measured figures still count, with a warning: ignoring them would make a region look emptier than it was.

Ruled out: comparing decoded signatures. base64url decoding ignores the last two bits of 43 characters, so an altered signature would be accepted; the text is compared instead, in constant time.

--- /dev/null
+++ b/packages/planner/__tests__/make_plan.test.ts
@@ -0,0 +1,337 @@
+import fc from 'fast-check';
+import type {Configuration, Intent, Plan, PlanRequest} from '@cuminsill/types';
+import {ResultError, resultCodes} from '@cuminsill/types';
+import {makePlan, movedShare} from '@cuminsill/planner';
+import type {LiveLoads} from '@cuminsill/planner';
+import {
+  drain,
+  noLoads,
+  route,
+  sampleConfiguration,
+  signingKey,
+  startMs,
+  withIntents,
+} from '../__fixtures__/sample_configuration';
+
+function plan(
+  request: PlanRequest | Intent,
+  configuration = sampleConfiguration(),
+  live: LiveLoads = noLoads,
+): Plan {
+  const asked = 'action' in request ? request : ({action: 'put', intent: request} as const);
+  return makePlan(configuration, asked, live, startMs, signingKey);
+}
+
+function risksOf({risks}: Plan, severity: string): string {
+  return risks.flatMap(risk => (risk.severity === severity ? [risk.text] : [])).join('\n');
+}
+
+function headroomOf(made: Plan, regionId: string) {
+  return made.headroom.find(row => row.serviceId === 'proofs' && row.regionId === regionId);
+}
+
+describe('makePlan refuses references that do not exist', () => {
+  const oneRegion = sampleConfiguration();
+  const noTargets: Configuration = {
+    ...oneRegion,
+    catalog: {
+      ...oneRegion.catalog,
+      targets: oneRegion.catalog.targets.filter(target => target.regionId !== 'este'),
+    },
+  };
+  const here = {montevideo: 1};
+  const cases: ReadonlyArray<readonly [Intent, RegExp, Configuration?]> = [
+    [route(here, {serviceId: 'prooofs'}), /serviceId: found "prooofs"; .*one of photos, proofs/],
+    [route(here, {callerRegionId: 'sur'}), /callerRegionId: found "sur"; .*este, litoral, mon/],
+    [route({montevideo: 0.5, sur: 0.5}), /shares\[1\].regionId: found "sur"; .*este, litoral/],
+    [route({este: 1}), /"este"; the region has no targets for service "proofs".*lito/, noTargets],
+    [drain('este-c'), /siteId: found "este-c"; there is no such site.*este-a, este-b, lito/],
+    [{kind: 'stop', id: 's', siteId: 'x'}, /siteId: found "x"/],
+    [route({montevideo: 0.5}), /shares: found a sum of 0.5; give shares .* add up to 1/],
+    [route(here, {maxMovedShare: 0}), /maxMovedShare: found 0; give a number above 0/],
+    [route(here, {windowS: NaN}), /windowS: found NaN; give a number of seconds/],
+  ];
+
+  // Guards against a plan that steers traffic to nowhere, and against an error without field, value and fix.
+  test.each(cases)('%j', (intent, expected, configuration = oneRegion) => {
+    let thrown: unknown;
+    try {
+      plan(intent, configuration);
+    } catch (error) {
+      thrown = error;
+    }
+    expect(thrown).toBeInstanceOf(ResultError);
+    expect((thrown as ResultError).result).toBe(resultCodes.invalidIntent);
+    expect((thrown as ResultError).detail).toMatch(expected);
+  });
+});
+
+describe('makePlan', () => {
+  // Guards against wrong figures for a plain move of traffic.
+  test('a route shows shares, steps, duration and headroom', () => {
+    const made = plan(route({montevideo: 0.6, litoral: 0.4}));
+    expect(made.shareChanges).toEqual([
+      expect.objectContaining({
+        callerRegionId: 'montevideo',
+        before: [{regionId: 'montevideo', share: 1}],
+        movedShare: expect.closeTo(0.4, 9),
+      }),
+    ]);
+    expect(made.change).toMatchObject({previousShares: [{regionId: 'montevideo', share: 1}]});
+    expect(made.steps.map(step => Math.round(step.afterS))).toEqual([30, 60, 90, 120]);
+    expect(made.expectedDurationS).toBeCloseTo(120, 6);
+    expect(headroomOf(made, 'montevideo')).toMatchObject({
+      capacityRequestsPerS: 200,
+      beforeRequestsPerS: 100,
+      afterRequestsPerS: expect.closeTo(60, 9),
+    });
+    expect(headroomOf(made, 'litoral')).toMatchObject({
+      afterRequestsPerS: expect.closeTo(140, 9),
+      headroomShare: expect.closeTo(0.3, 9),
+    });
+    expect(made.risks).toEqual([]);
+  });
+
+  // Guards against a drain that overloads the rest of a region or a service without any target.
+  test.each([
+    ['fits', drain('este-a'), sampleConfiguration(80), /^$/],
+    ['overloads', drain('este-a'), sampleConfiguration(120), /este would carry 120.0 req.*100.0 r/],
+    [
+      'names what helps',
+      {kind: 'stop', id: 's', siteId: 'este-a'} as const,
+      sampleConfiguration(120),
+      /What would help: add capacity for 20.0 .*move 20.0 .*would have 80.0 requests\/s free/,
+    ],
+    [
+      'region goes, neighbours fill up',
+      drain('este-b'),
+      withIntents(sampleConfiguration(120), [drain('este-a')]),
+      /Region montevideo would carry 240.0 requests\/s of service photos/,
+    ],
+    [
+      'no target left anywhere',
+      drain('este-b'),
+      withIntents(
+        sampleConfiguration(1),
+        ['este-a', 'litoral-a', 'litoral-b', 'montevideo-a', 'montevideo-b'].map(s => drain(s)),
+      ),
+      /Service proofs would have no target left in any region: 0 of 2 targets/,
+    ],
+  ])('drain: %s', (_name, intent, configuration, blocking) => {
+    expect(risksOf(plan(intent, configuration), 'blocking')).toMatch(blocking);
+  });
+
+  // Guards against an overload that nobody can relieve because every plan is refused.
+  test('a plan that relieves an overload does not block', () => {
+    const made = plan(
+      route({montevideo: 0.9, litoral: 0.1}, {serviceId: 'proofs'}),
+      sampleConfiguration(),
+      {
+        loads: [
+          {serviceId: 'proofs', regionId: 'montevideo', requestsPerS: 250, measuredAtMs: startMs},
+        ],
+        coldTargetIds: [],
+      },
+    );
+    expect(headroomOf(made, 'montevideo')).toMatchObject({
+      beforeRequestsPerS: 250,
+      afterRequestsPerS: expect.closeTo(225, 9),
+    });
+    expect(risksOf(made, 'blocking')).toBe('');
+    expect(risksOf(made, 'warning')).toMatch(/carry 225.0.*does not raise this/);
+  });
+
+  const measured = {serviceId: 'proofs', regionId: 'litoral', requestsPerS: 150};
+  const move = route({montevideo: 0.6, litoral: 0.4});
+  const half = withIntents(sampleConfiguration(), [route({litoral: 1})], startMs - 30_000);
+  const warnings: ReadonlyArray<readonly [string, Plan, RegExp]> = [
+    [
+      'low headroom',
+      plan(move, undefined, {
+        loads: [{...measured, measuredAtMs: startMs}],
+        coldTargetIds: [],
+      }),
+      /litoral would have 5.0% headroom for service proofs, below 15.0%: 190.0/,
+    ],
+    [
+      'old figure',
+      plan(move, undefined, {
+        loads: [{...measured, measuredAtMs: startMs - 10_001}],
+        coldTargetIds: [],
+      }),
+      /service proofs in litoral, 150.0 requests\/s, is 10 s old/,
+    ],
+    [
+      'cold targets',
+      plan(move, undefined, {loads: [], coldTargetIds: ['proofs-litoral-2']}),
+      /1 of 4 targets of service proofs in litoral are cold/,
+    ],
+    [
+      'two moves overlap',
+      plan(route({este: 1}, {id: 'r2'}), half),
+      /callers in montevideo \(intent r1\) is not finished; the two moves overlap/,
+    ],
+    [
+      'region is lost at once',
+      plan(drain('este-b'), withIntents(sampleConfiguration(10), [drain('este-a')])),
+      /Callers in este lose a region of service photos: 100.0% .* at once/,
+    ],
+  ];
+
+  // Guards against a confirmation given without knowing of a risk.
+  test.each(warnings)('warns: %s', (_name, made, expected) => {
+    expect(risksOf(made, 'warning')).toMatch(expected);
+    expect(risksOf(made, 'blocking')).toBe('');
+  });
+
+  // Guards against a move that starts from shares that are not in force yet.
+  test('a move starts from the scheduled position of the one under way', () => {
+    const made = plan(route({este: 1}, {id: 'r2'}), half);
+    const [first] = made.shareChanges;
+    expect(first?.before).toEqual([
+      {regionId: 'montevideo', share: expect.closeTo(0.9, 9)},
+      {regionId: 'litoral', share: expect.closeTo(0.1, 9)},
+    ]);
+  });
+
+  const inForce = withIntents(sampleConfiguration(), [drain('este-a'), drain('este-a', 'again')]);
+  const routed = withIntents(sampleConfiguration(), [route({litoral: 1})]);
+  // Guards against an operator who believes that a plan does something when it does not.
+  test.each<readonly [PlanRequest, Configuration, RegExp]>([
+    [{action: 'put', intent: drain('este-a', 'third')}, inForce, /este-a is drained already/],
+    [{action: 'remove', intentId: 'again'}, inForce, /another intent keeps site este-a drained/],
+    [{action: 'remove', intentId: 'nothing'}, inForce, /no intent "nothing" is in force/],
+    [{action: 'put', intent: route({litoral: 1})}, routed, /same shares and cap/],
+  ])('says that nothing changes: %j', (request, configuration, expected) => {
+    const made = plan(request, configuration);
+    expect(made.risks).toEqual([{severity: 'warning', text: expect.stringMatching(expected)}]);
+    expect([made.shareChanges, made.steps, made.expectedDurationS]).toEqual([[], [], 0]);
+  });
+});
+
+const sites = ['este-a', 'este-b', 'litoral-a', 'litoral-b', 'montevideo-a', 'montevideo-b'];
+const regions = ['este', 'litoral', 'montevideo'];
+const anyIntent: fc.Arbitrary<Intent> = fc.oneof(
+  fc.record({
+    kind: fc.constantFrom('drain' as const, 'stop' as const),
+    id: fc.constantFrom('i1', 'i2', 'i3'),
+    siteId: fc.constantFrom(...sites),
+  }),
+  fc
+    .record({
+      id: fc.constantFrom('i1', 'i2', 'i3'),
+      callerRegionId: fc.constantFrom(...regions),
+      maxMovedShare: fc.integer({min: 1, max: 1000}).map(n => n / 1000),
+      windowS: fc.integer({min: 1, max: 600}),
+      weights: fc.tuple(fc.nat(9), fc.nat(9), fc.integer({min: 1, max: 9})),
+    })
+    .map(({weights, ...other}) => {
+      const sum = weights.reduce((a, b) => a + b);
+      const shares = Object.fromEntries(regions.map((id, n) => [id, weights[n]! / sum]));
+      return route(shares, other);
+    }),
+);
+const anyRequest: fc.Arbitrary<PlanRequest> = fc.oneof(
+  anyIntent.map(intent => ({action: 'put', intent}) as const),
+  fc.constantFrom('i1', 'i2').map(intentId => ({action: 'remove', intentId}) as const),
+);
+const anyState = fc
+  .record({
+    intents: fc.array(anyIntent, {maxLength: 4}),
+    ageS: fc.integer({min: 0, max: 2000}),
+    rate: fc.integer({min: 0, max: 250}),
+  })
+  .map(({intents, ageS, rate}) =>
+    withIntents(sampleConfiguration(rate), intents, startMs - ageS * 1000),
+  );
+const runs = {seed: 20261203, numRuns: 200};
+
+function deepFreeze<T>(value: T): T {
+  if (typeof value === 'object' && value !== null) {
+    Object.values(value).forEach(deepFreeze);
+    Object.freeze(value);
+  }
+  return value;
+}
+
+describe('properties of plans', () => {
+  // Guards against a plan that changes the configuration it was made from.
+  test('making a plan never mutates its input', () => {
+    fc.assert(
+      fc.property(anyState, anyRequest, (configuration, request) => {
+        const copy = structuredClone(configuration);
+        plan(deepFreeze(request), deepFreeze(configuration));
+        expect(configuration).toEqual(copy);
+      }),
+      runs,
+    );
+  });
+
+  // Guards against steps that exceed the cap, and against steps that do not end at the wanted shares.
+  test('steps move at most the cap in any window', () => {
+    fc.assert(
+      fc.property(anyState, anyRequest, (configuration, request) => {
+        const made = plan(request, configuration);
+        for (const change of made.shareChanges) {
+          const steps = made.steps.filter(
+            step =>
+              step.serviceId === change.serviceId && step.callerRegionId === change.callerRegionId,
+          );
+          if (steps.length === 0) continue;
+          const caps = capsAfter(configuration, request, change.callerRegionId, change.serviceId);
+          const points = [{afterS: 0, shares: change.before}, ...steps];
+          for (const cap of caps) {
+            points.forEach((from, n) =>
+              points.slice(n + 1).forEach(to => {
+                const windows = Math.ceil((to.afterS - from.afterS) / cap.windowS - 1e-9);
+                const moved = movedShare(from.shares, to.shares);
+                expect(moved).toBeLessThanOrEqual(windows * cap.maxMovedShare + 1e-9);
+              }),
+            );
+          }
+          expect(movedShare(steps.at(-1)!.shares, change.after)).toBeLessThan(1e-9);
+        }
+      }),
+      runs,
+    );
+  });
+
+  // Guards against load that appears or disappears in the forecast.
+  test('the load after a plan equals the load before, unless no target is left', () => {
+    fc.assert(
+      fc.property(anyState, anyRequest, (configuration, request) => {
+        const made = plan(request, configuration);
+        for (const serviceId of new Set(made.headroom.map(row => row.serviceId))) {
+          const rows = made.headroom.filter(row => row.serviceId === serviceId);
+          if (rows.every(row => row.capacityRequestsPerS === 0)) continue;
+          const demands = configuration.catalog.demands.filter(d => d.serviceId === serviceId);
+          const demand = demands.reduce((sum, entry) => sum + entry.requestsPerS, 0);
+          const after = rows.reduce((sum, row) => sum + row.afterRequestsPerS, 0);
+          expect(after).toBeCloseTo(demand, 6);
+        }
+      }),
+      runs,
+    );
+  });
+});
+
+function capsAfter(
+  configuration: Configuration,
+  request: PlanRequest,
+  callerRegionId: string,
+  serviceId: string,
+) {
+  const changedId = request.action === 'put' ? request.intent.id : request.intentId;
+  const kept = configuration.intents
+    .map(entry => entry.intent)
+    .filter(intent => intent.id !== changedId);
+  const intents = request.action === 'put' ? [...kept, request.intent] : kept;
+  const caps = intents.flatMap(intent =>
+    intent.kind === 'route' &&
+    intent.serviceId === serviceId &&
+    intent.callerRegionId === callerRegionId
+      ? [intent]
+      : [],
+  );
+  return caps.length > 0 ? caps : [{maxMovedShare: 0.25, windowS: 60}];
+}
--- a/packages/planner/src/index.ts
+++ b/packages/planner/src/index.ts
@@ -1,2 +1,7 @@
 /** Intents, plans, confirmations and the explanation texts of refusals. */
 export * from './apply_change';
+export * from './confirm_plan';
+export * from './make_plan';
+export * from './plan_headroom';
+export * from './sign';
+export * from './traffic_view';
