--- /dev/null
+++ b/packages/daemon/src/index.ts
@@ -0,0 +1,2 @@
+/** The frame that all daemon programs share. */
+export * from './run_daemon';
--- /dev/null
+++ b/packages/entry/src/entry_view.ts
@@ -0,0 +1,52 @@
+/**
+ * What an entry process knows: the configuration in force, the other instances, and what follows from both. The
+ * control process tells it; the last view stays in force while the control process is away.
+ */
+import type {Configuration, Member, ServiceContract} from '@cuminsill/types';
+import {emptyConfiguration} from '@cuminsill/types';
+import {ClientBlockTable} from './client_block_table';
+import {LookupAnswers} from './lookup_answers';
+
+/** The view of one entry process. */
+export class EntryView {
+  configuration: Configuration = emptyConfiguration;
+  members: readonly Member[] = [];
+  contracts: ReadonlyMap<string, ServiceContract> = new Map();
+  clientBlocks = new ClientBlockTable([]);
+  controlConnected = false;
+  /** Number of claim shards, as the control process states it. */
+  claimShards = 16;
+  readonly lookupAnswers: LookupAnswers;
+  /** Value of the `cache-control` header of look-up answers. */
+  readonly cacheControl: string;
+
+  constructor(lookupTtlS: number) {
+    this.lookupAnswers = new LookupAnswers(lookupTtlS);
+    this.cacheControl = `max-age=${lookupTtlS}`;
+  }
+
+  /** Adopts a configuration unless it is older than the one in force; returns whether it was adopted. */
+  adoptConfiguration(configuration: Configuration): boolean {
+    if (configuration.version <= this.configuration.version) return false;
+    const sameBlocks =
+      configuration.catalog.clientBlocks === this.configuration.catalog.clientBlocks;
+    this.configuration = configuration;
+    this.contracts = new Map(
+      configuration.catalog.services.map(service => [service.id, service] as const),
+    );
+    if (!sameBlocks) this.clientBlocks = new ClientBlockTable(configuration.catalog.clientBlocks);
+    this.lookupAnswers.rebuild(this.configuration, this.members);
+    return true;
+  }
+
+  /** Adopts a list of members. */
+  adoptMembers(members: readonly Member[]): void {
+    this.members = members;
+    this.lookupAnswers.rebuild(this.configuration, this.members);
+  }
+
+  /** Where a member listens; undefined when it is not known or does not answer. */
+  memberById(instanceId: string): Member | undefined {
+    return this.members.find(member => member.instance.id === instanceId);
+  }
+}
--- a/packages/entry/src/forwarder_parts.ts
+++ b/packages/entry/src/forwarder_parts.ts
@@ -1,10 +1,11 @@
 /** What forwarding works with, and a request on its way. */
 import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {ClaimSession} from '@cuminsill/claims';
 import type {Metrics} from '@cuminsill/logger';
 import type {PoisonDecisions, RetryBudget, SteeringDecisions} from '@cuminsill/steering';
 import type {TimeSource} from '@cuminsill/utils';
+import type {FiberSet} from 'effect';
 import type {Call} from './call';
-import type {OperationClaims} from './operation_claims';
 import type {ReplayBody} from './replay_body';
 import type {TargetConnections} from './target_connections';
 
@@ -13,7 +14,9 @@
   readonly steering: SteeringDecisions;
   readonly poison: PoisonDecisions;
   readonly retryBudgetOf: (serviceId: string) => RetryBudget;
-  readonly claims: OperationClaims;
+  readonly claims: Pick<ClaimSession, 'claim' | 'complete'>;
+  /** Runs reports that the caller does not wait for; a stop waits for them. */
+  readonly background: FiberSet.FiberSet;
   readonly connections: TargetConnections;
   readonly metrics: Metrics;
   readonly time: TimeSource;
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -1,1 +1,4 @@
-export {};
+/** The entry daemon. */
+export * from './entry_daemon';
+export * from './lookup_answers';
+export * from './client_block_table';
--- a/packages/entry/src/serve_once.ts
+++ b/packages/entry/src/serve_once.ts
@@ -5,9 +5,10 @@
  * outcome is known, so that a later retry or question gets a definite answer. Only the wait for a slot ends with
  * the caller, and then the claim is released as not run.
  */
-import type {ClaimAnswer, ClaimOutcome} from '@cuminsill/claims';
+import type {IncomingMessage} from 'node:http';
+import type {ClaimDecision, ClaimOutcome} from '@cuminsill/claims';
 import {ResultError, resultCodes} from '@cuminsill/types';
-import {Effect} from 'effect';
+import {Effect, FiberSet} from 'effect';
 import {finishAnswer} from './finish_answer';
 import type {Flight, ForwarderParts} from './forwarder_parts';
 import {readKeptBody} from './relay_response';
@@ -29,104 +30,126 @@
     const {call} = flight;
     const key = call.idempotencyKey ?? '';
     const remainingMs = call.deadlineMs - parts.time.monotonicMs();
-    const sendDeadlineAtMs = Math.floor(parts.time.nowMs() + remainingMs);
-    const answer = yield* parts.claims.claim(key, flight.fingerprint, sendDeadlineAtMs);
-    if (answer.state !== 'granted') return yield* answerFromClaim(flight, answer);
-    yield* sendClaimed(parts, flight, {key, claimId: answer.claimId});
+    const claim = yield* parts.claims.claim({
+      key,
+      requestDigest: flight.fingerprint,
+      sendDeadlineAtMs: Math.floor(parts.time.nowMs() + remainingMs),
+    });
+    switch (claim.decision) {
+      case 'send':
+        return yield* sendClaimed(parts, flight, {key, claimId: claim.claimId});
+      case 'held':
+        return yield* answerFromClaim(flight, claim.answer);
+      case 'not-sent':
+        return yield* Effect.fail(notSentRefusals[claim.reason]);
+    }
   }).pipe(Effect.uninterruptible);
 }
 
+const notSentRefusals = {
+  unavailable: new ResultError(
+    resultCodes.claimUnavailable,
+    'The claim was not recorded in the store.',
+  ),
+  'no-owner': new ResultError(
+    resultCodes.claimUnavailable,
+    'No instance owns the claim shard at the moment.',
+  ),
+  deadline: new ResultError(resultCodes.deadlineTooShort, 'The claim took the whole time.'),
+} as const;
+
 function sendClaimed(
   parts: ForwarderParts,
   flight: Flight,
   claimed: Claimed,
 ): Effect.Effect<void, ResultError> {
-  const report = (outcome: ClaimOutcome) =>
-    parts.claims.complete(claimed.key, claimed.claimId, outcome);
+  const report: Report = outcome => reportInBackground(parts, claimed, outcome);
   return Effect.gen(function* () {
     const answered = yield* tryTargets(parts, flight).pipe(
-      Effect.tapError(failed => reportFailure(flight, failed, report)),
+      Effect.tapError(failed => reportFailure(parts, flight, failed, report)),
       // Interrupted while it waited for a slot: every attempt before provably did not run.
       Effect.onInterrupt(() => report({outcome: 'not-run'})),
       Effect.mapError(failed => failed.refusal),
     );
     const relayed = yield* finishAnswer(parts, flight, answered, keptAnswerBytes);
-    const answer = {
-      status: answered.response.statusCode ?? 0,
-      contentType: answered.response.headers['content-type'] ?? '',
-      body: relayed.keptBody,
-    };
-    yield* report({outcome: 'run', answer});
+    yield* report(runOutcome(answered.response, relayed.keptBody));
   });
 }
 
+type Report = (outcome: ClaimOutcome) => Effect.Effect<void>;
+
+/** Reports without making the caller wait; the report is repeated for up to a minute. */
+function reportInBackground(
+  parts: ForwarderParts,
+  claimed: Claimed,
+  outcome: ClaimOutcome,
+): Effect.Effect<void> {
+  return parts.claims
+    .complete(claimed.key, claimed.claimId, outcome)
+    .pipe(Effect.interruptible, FiberSet.run(parts.background), Effect.asVoid);
+}
+
 function reportFailure(
+  parts: ForwarderParts,
   flight: Flight,
   failed: AttemptsFailed,
-  report: (outcome: ClaimOutcome) => Effect.Effect<void>,
+  report: Report,
 ): Effect.Effect<void> {
-  if (failed.late !== undefined) {
-    return failed.late.pipe(
-      Effect.flatMap(end => reportLate(end, report)),
-      Effect.forkDaemon,
-    );
+  const {late, refusal} = failed;
+  if (late === undefined) {
+    return report({outcome: refusal.result.outcome === 'not-run' ? 'not-run' : 'unknown'});
   }
-  return report({outcome: failed.refusal.result.outcome === 'not-run' ? 'not-run' : 'unknown'});
+  return late.pipe(
+    Effect.flatMap(end => lateOutcome(flight, end)),
+    Effect.flatMap(report),
+    Effect.interruptible,
+    FiberSet.run(parts.background),
+    Effect.asVoid,
+  );
 }
 
-/** Records the outcome of an operation that was answered after its deadline. */
-function reportLate(
-  flight: Flight,
-  end: LateEnd,
-  report: (outcome: ClaimOutcome) => Effect.Effect<void>,
-): Effect.Effect<void> {
-  if (end.kind === 'lost') return report({outcome: 'unknown'});
+/** The outcome of an operation that ended after its deadline. */
+function lateOutcome(flight: Flight, end: LateEnd): Effect.Effect<ClaimOutcome> {
+  if (end.kind === 'lost') return Effect.succeed({outcome: 'unknown'});
   const {response} = end;
   if (flight.call.contract.notRunStatuses.includes(response.statusCode ?? 0)) {
     response.resume();
-    return report({outcome: 'not-run'});
+    return Effect.succeed({outcome: 'not-run'});
   }
-  return readKeptBody(response, keptAnswerBytes).pipe(
-    Effect.flatMap(body =>
-      report({
-        outcome: 'run',
-        answer: {
-          status: response.statusCode ?? 0,
-          contentType: response.headers['content-type'] ?? '',
-          body,
-        },
-      }),
-    ),
-  );
+  return Effect.map(readKeptBody(response, keptAnswerBytes), body => runOutcome(response, body));
+}
+
+function runOutcome(response: IncomingMessage, body: Uint8Array | undefined): ClaimOutcome {
+  const status = response.statusCode ?? 0;
+  const contentType = response.headers['content-type'] ?? '';
+  return {outcome: 'run', answer: {status, contentType, body}};
 }
 
-type ClaimAnswerHandlers = {
-  readonly [State in ClaimAnswer['state']]: (
+type HeldAnswer = Extract<ClaimDecision, {decision: 'held'}>['answer'];
+
+type HeldAnswerHandlers = {
+  readonly [State in HeldAnswer['state']]: (
     flight: Flight,
-    answer: Extract<ClaimAnswer, {state: State}>,
+    answer: Extract<HeldAnswer, {state: State}>,
   ) => Effect.Effect<void, ResultError>;
 };
 
-const refuse = (error: ResultError) => () => Effect.fail(error);
+const refuseWith = (error: ResultError) => () => Effect.fail(error);
 
-const claimAnswerHandlers: ClaimAnswerHandlers = {
-  granted: () => Effect.void,
-  'in-progress': refuse(new ResultError(resultCodes.inProgress)),
-  unknown: refuse(new ResultError(resultCodes.outcomeUnknown)),
-  'key-reused': refuse(new ResultError(resultCodes.idempotencyKeyReused)),
-  'not-run': refuse(new ResultError(resultCodes.claimUnavailable)),
-  'not-owner': refuse(new ResultError(resultCodes.claimUnavailable)),
-  unavailable: refuse(new ResultError(resultCodes.claimUnavailable)),
+const heldAnswerHandlers: HeldAnswerHandlers = {
+  'in-progress': refuseWith(new ResultError(resultCodes.inProgress)),
+  unknown: refuseWith(new ResultError(resultCodes.outcomeUnknown)),
+  'key-reused': refuseWith(new ResultError(resultCodes.idempotencyKeyReused)),
   run: (flight, {answer}) =>
     answer.body === undefined
       ? Effect.fail(new ResultError(resultCodes.alreadyRun))
       : Effect.sync(() => replayAnswer(flight, answer.status, answer.contentType, answer.body)),
 };
 
-function answerFromClaim(flight: Flight, answer: ClaimAnswer): Effect.Effect<void, ResultError> {
-  const handler = claimAnswerHandlers[answer.state] as (
+function answerFromClaim(flight: Flight, answer: HeldAnswer): Effect.Effect<void, ResultError> {
+  const handler = heldAnswerHandlers[answer.state] as (
     flight: Flight,
-    answer: ClaimAnswer,
+    answer: HeldAnswer,
   ) => Effect.Effect<void, ResultError>;
   return handler(flight, answer);
 }
