--- /dev/null
+++ b/packages/steering/src/refusals.ts
@@ -0,0 +1,67 @@
+/** Refusals with the figures that led to them. */
+import type {ResultError as Refusal} from '@cuminsill/types';
+import {ResultError, resultCodes} from '@cuminsill/types';
+
+/** Figures of the pool that refused a request. */
+export interface PoolFigures {
+  readonly serviceId: string;
+  readonly regionId: string;
+  readonly heldSlots: number;
+  readonly inFlight: number;
+  readonly queued: number;
+  readonly typicalMs: number;
+}
+
+function poolText(figures: PoolFigures): string {
+  return (
+    `Service ${figures.serviceId} in region ${figures.regionId}: ${figures.heldSlots} slots held, ` +
+    `${figures.inFlight} in flight, ${figures.queued} queued, ` +
+    `typical latency ${Math.round(figures.typicalMs)} ms`
+  );
+}
+
+/** The queue of the pool is full. */
+export function overloadedRefusal(figures: PoolFigures, queueLimit: number): Refusal {
+  const detail = `${poolText(figures)}; the queue holds at most ${queueLimit}.`;
+  return new ResultError(resultCodes.regionOverloaded, detail);
+}
+
+/** The request cannot finish before its deadline. */
+export function deadlineRefusal(
+  figures: PoolFigures,
+  remainingMs: number,
+  neededMs: number,
+): Refusal {
+  const detail =
+    `${poolText(figures)}; ${Math.round(remainingMs)} ms remain and ` +
+    `${Math.round(neededMs)} ms are expected to be needed.`;
+  return new ResultError(resultCodes.deadlineTooShort, detail);
+}
+
+/** No region has a target that can take the request. */
+export function noTargetRefusal(
+  serviceId: string,
+  regionIds: readonly string[],
+  excludedTargets: number,
+): Refusal {
+  const regions = regionIds.length === 0 ? 'none' : regionIds.join(', ');
+  const detail =
+    `Service ${serviceId}: regions with targets: ${regions}; none of them has a usable target; ` +
+    `${excludedTargets} targets were tried before.`;
+  return new ResultError(resultCodes.noTarget, detail);
+}
+
+/** The service is not in the configuration. */
+export function unknownServiceRefusal(serviceId: string, version: number): Refusal {
+  const detail = `Service ${serviceId} is not in configuration version ${version}.`;
+  return new ResultError(resultCodes.unknownService, detail);
+}
+
+/** There is no configuration or no view of the members yet. */
+export function notReadyRefusal(missing: 'configuration' | 'members'): Refusal {
+  const detail =
+    missing === 'configuration'
+      ? 'No configuration has been received.'
+      : 'No view of the members has been received.';
+  return new ResultError(resultCodes.notReady, detail);
+}
--- /dev/null
+++ b/packages/steering/src/route_state.ts
@@ -0,0 +1,58 @@
+/** Running state of one route at one entry: its ramp, the assignment of requests to regions and the overflow. */
+import type {AppliedShare} from '@cuminsill/types';
+import type {TimeSource} from '@cuminsill/utils';
+import {OverflowBudget} from './overflow_budget';
+import {RegionAssignment} from './region_assignment';
+import type {EffectiveRoute} from './routes';
+import {ShareRamp} from './share_ramp';
+
+/** One service and caller region at one entry. */
+export class RouteState {
+  private readonly ramp: ShareRamp;
+  private readonly assignment = new RegionAssignment();
+  private readonly budget = new OverflowBudget();
+  private rampMoved = 0;
+
+  constructor(
+    public route: EffectiveRoute,
+    time: TimeSource,
+  ) {
+    this.ramp = new ShareRamp(route, time);
+  }
+
+  /** Adopts a new target and cap. */
+  setRoute(route: EffectiveRoute): void {
+    this.route = route;
+    this.ramp.setRoute(route);
+  }
+
+  /** Advances the ramp. */
+  advance(frozen: boolean): void {
+    if (this.ramp.isMoving()) this.ramp.advance(frozen);
+    this.rampMoved = this.ramp.movedInWindow();
+  }
+
+  /** Counts a request and returns its region; undefined when the service has no targets. */
+  nextRegion(): string | undefined {
+    this.budget.countRequest(this.route.limit.maxMovedShare, this.rampMoved);
+    return this.assignment.next(this.ramp.shares());
+  }
+
+  /** True when the cap lets one more request overflow. */
+  mayOverflow(): boolean {
+    return this.budget.hasCredit();
+  }
+
+  /** Counts an overflow. */
+  countOverflow(): void {
+    this.budget.spend();
+  }
+
+  /** Shares in force. */
+  appliedShares(): readonly AppliedShare[] {
+    const {serviceId, callerRegionId} = this.route;
+    return this.ramp
+      .shares()
+      .map(({regionId, share}) => ({serviceId, callerRegionId, targetRegionId: regionId, share}));
+  }
+}
--- /dev/null
+++ b/packages/steering/src/slot_division.ts
@@ -0,0 +1,212 @@
+/**
+ * Divides the slots of all targets among the entries, as a pure function of the configuration and the members.
+ * Entries that have the same view agree without a message. The counts follow the expected traffic by largest
+ * remainders; which slot goes to which entry follows rendezvous scores, so that few slots move on a change.
+ */
+import type {Configuration, Member, RegionShare, Target} from '@cuminsill/types';
+import {hash32} from '@cuminsill/utils';
+import type {RouteTable} from './routes';
+import {drainedSites, nearestRegions} from './routes';
+
+/** One slot of one target. */
+export interface OwnedSlot {
+  readonly targetId: string;
+  /** From 0; a target that starts is given its slots in this order. */
+  readonly slotIndex: number;
+}
+
+/** A slot that the entry owns, and whether another entry owned it before. */
+export interface HandedSlot extends OwnedSlot {
+  readonly fromOther: boolean;
+}
+
+/** An entry and its weight in one pool. */
+export interface WeightedEntry {
+  readonly instanceId: string;
+  readonly weight: number;
+}
+
+/** Slots of one entry in one pool. */
+export interface EntrySlots {
+  readonly instanceId: string;
+  readonly slots: readonly OwnedSlot[];
+}
+
+/** The division of the slots of one service in one region. */
+export interface PoolDivision {
+  readonly serviceId: string;
+  readonly regionId: string;
+  readonly entries: readonly EntrySlots[];
+}
+
+/** Members that hold slots: serving and not unreachable. */
+export function slotHolders(members: readonly Member[]): readonly Member[] {
+  return members
+    .filter(member => member.state === 'serving' && member.reachability !== 'unreachable')
+    .sort((a, b) => (a.instance.id < b.instance.id ? -1 : 1));
+}
+
+/** Number of slots per entry by largest remainders; equal weights differ by at most one. */
+export function slotQuotas(
+  poolKey: string,
+  slotCount: number,
+  entries: readonly WeightedEntry[],
+): readonly number[] {
+  const total = entries.reduce((sum, entry) => sum + entry.weight, 0);
+  const exact = entries.map(entry => (entry.weight / total) * slotCount);
+  const quotas = exact.map(value => Math.floor(value + 1e-9));
+  const order = entries
+    .map((entry, index) => ({
+      index,
+      remainder: Math.round(((exact[index] ?? 0) - (quotas[index] ?? 0)) * 1e9),
+      tieBreak: hash32(`${entry.instanceId}/${poolKey}`),
+    }))
+    .sort((a, b) => b.remainder - a.remainder || b.tieBreak - a.tieBreak || a.index - b.index);
+  let left = slotCount - quotas.reduce((sum, quota) => sum + quota, 0);
+  for (const {index} of order) {
+    if (left <= 0) break;
+    quotas[index] = (quotas[index] ?? 0) + 1;
+    left -= 1;
+  }
+  return quotas;
+}
+
+interface Candidate {
+  readonly entryIndex: number;
+  readonly slotPosition: number;
+  readonly score: number;
+}
+
+/** Gives each slot to one entry: pairs in the order of their rendezvous scores, up to each entry's quota. */
+export function assignSlots(
+  poolKey: string,
+  slots: readonly OwnedSlot[],
+  entries: readonly WeightedEntry[],
+): readonly EntrySlots[] {
+  const open = slotQuotas(poolKey, slots.length, entries).slice();
+  const seeds = entries.map(entry => hash32(entry.instanceId));
+  const candidates: Candidate[] = [];
+  slots.forEach((slot, slotPosition) => {
+    const slotKey = `${slot.targetId}/${slot.slotIndex}`;
+    seeds.forEach((seed, entryIndex) => {
+      if (open[entryIndex] === 0) return;
+      candidates.push({entryIndex, slotPosition, score: hash32(slotKey, seed)});
+    });
+  });
+  candidates.sort(
+    (a, b) => b.score - a.score || a.entryIndex - b.entryIndex || a.slotPosition - b.slotPosition,
+  );
+  const taken = new Uint8Array(slots.length);
+  const owned: OwnedSlot[][] = entries.map(() => []);
+  for (const {entryIndex, slotPosition} of candidates) {
+    const slot = slots[slotPosition];
+    const quota = open[entryIndex] ?? 0;
+    if (slot === undefined || quota === 0 || taken[slotPosition] === 1) continue;
+    taken[slotPosition] = 1;
+    open[entryIndex] = quota - 1;
+    owned[entryIndex]?.push(slot);
+  }
+  return entries.map((entry, index) => ({
+    instanceId: entry.instanceId,
+    slots: owned[index] ?? [],
+  }));
+}
+
+/** Largest share that a region has before or after the newest move, so that both ends of it have slots. */
+function plannedShare(
+  regionId: string,
+  before: readonly RegionShare[],
+  after: readonly RegionShare[],
+): number {
+  const shareIn = (shares: readonly RegionShare[]): number =>
+    shares.find(entry => entry.regionId === regionId)?.share ?? 0;
+  return Math.max(shareIn(before), shareIn(after));
+}
+
+/** Expected rate that the entries of each region send to one pool. */
+class ExpectedTraffic {
+  private readonly holdersByRegion = new Map<string, Member[]>();
+  private readonly hostRegions = new Map<string, string | undefined>();
+
+  constructor(
+    private readonly configuration: Configuration,
+    private readonly routes: RouteTable,
+    private readonly holders: readonly Member[],
+  ) {
+    for (const holder of holders) {
+      const list = this.holdersByRegion.get(holder.instance.regionId) ?? [];
+      list.push(holder);
+      this.holdersByRegion.set(holder.instance.regionId, list);
+    }
+    for (const {id} of configuration.catalog.regions) {
+      const regionIds = [...this.holdersByRegion.keys()];
+      this.hostRegions.set(id, nearestRegions(configuration.catalog, id, regionIds)[0]);
+    }
+  }
+
+  /** Entries with a weight above 0 for the pool; all entries of the region when no traffic is expected. */
+  entriesFor(serviceId: string, regionId: string): readonly WeightedEntry[] {
+    const rates = new Map<string, number>();
+    const demands = this.configuration.catalog.demands.filter(
+      demand => demand.serviceId === serviceId,
+    );
+    for (const region of this.configuration.catalog.regions) {
+      const hostRegionId = this.hostRegions.get(region.id);
+      if (hostRegionId === undefined) continue;
+      const demand = demands.find(entry => entry.callerRegionId === region.id);
+      const requestsPerS = demands.length === 0 ? 1 : (demand?.requestsPerS ?? 0);
+      const route = this.routes.route(serviceId, region.id);
+      const share = plannedShare(regionId, route.previousShares, route.shares);
+      rates.set(hostRegionId, (rates.get(hostRegionId) ?? 0) + requestsPerS * share);
+    }
+    const weighted = this.holders
+      .map(({instance}) => ({
+        instanceId: instance.id,
+        weight:
+          (rates.get(instance.regionId) ?? 0) /
+          (this.holdersByRegion.get(instance.regionId)?.length ?? 1),
+      }))
+      .filter(entry => entry.weight > 0);
+    if (weighted.length > 0) return weighted;
+    const local = this.holdersByRegion.get(regionId) ?? this.holders;
+    return local.map(({instance}) => ({instanceId: instance.id, weight: 1}));
+  }
+}
+
+/** All slots of a list of targets. */
+export function slotsOfTargets(targets: readonly Target[]): readonly OwnedSlot[] {
+  return targets.flatMap(target =>
+    Array.from({length: target.slots}, (_, slotIndex) => ({targetId: target.id, slotIndex})),
+  );
+}
+
+/** Divides the slots of every pool among the members that hold slots; drained sites have no slots. */
+export function divideSlots(
+  configuration: Configuration,
+  routes: RouteTable,
+  members: readonly Member[],
+): readonly PoolDivision[] {
+  const holders = slotHolders(members);
+  if (holders.length === 0) return [];
+  const traffic = new ExpectedTraffic(configuration, routes, holders);
+  const drained = drainedSites(configuration.intents);
+  const targetsByPool = new Map<string, Target[]>();
+  for (const target of configuration.catalog.targets) {
+    if (drained.has(target.siteId)) continue;
+    const key = JSON.stringify([target.serviceId, target.regionId]);
+    const list = targetsByPool.get(key) ?? [];
+    list.push(target);
+    targetsByPool.set(key, list);
+  }
+  const pools: PoolDivision[] = [];
+  for (const [key, targets] of targetsByPool) {
+    const first = targets[0];
+    if (first === undefined) continue;
+    const {serviceId, regionId} = first;
+    const sorted = targets.sort((a, b) => (a.id < b.id ? -1 : 1));
+    const entries = traffic.entriesFor(serviceId, regionId);
+    const divided = assignSlots(key, slotsOfTargets(sorted), entries);
+    pools.push({serviceId, regionId, entries: divided});
+  }
+  return pools;
+}
