--- /dev/null
+++ b/packages/steering/__tests__/poison_guard.test.ts
@@ -0,0 +1,146 @@
+import fc from 'fast-check';
+import type {PoisonSuspicion} from '@cuminsill/types';
+import {ManualTime} from '@cuminsill/utils';
+import {maxFingerprints, PoisonGuard, suspicionMs} from '@cuminsill/steering';
+
+const startMs = 1_700_000_000_000;
+
+function guardWith(...lists: ReadonlyArray<readonly PoisonSuspicion[]>): PoisonGuard {
+  const guard = new PoisonGuard(new ManualTime(startMs));
+  for (const list of lists) guard.mergeSuspicions(list);
+  return guard;
+}
+
+const anySuspicion: fc.Arbitrary<PoisonSuspicion> = fc.record({
+  fingerprint: fc.constantFrom('f1', 'f2', 'f3'),
+  targetIds: fc.uniqueArray(fc.integer({min: 1, max: 14}).map(n => `t${n}`)),
+  untilMs: fc.integer({min: startMs - 1_000, max: startMs + 2 * suspicionMs}),
+});
+const anyList = fc.array(anySuspicion, {maxLength: 6});
+
+describe('PoisonGuard', () => {
+  // Guards against a request that is refused too early, too late, for too long or for another's fault.
+  test.each<readonly [string, ReadonlyArray<readonly [number, string]>, number, boolean]>([
+    ['no loss', [], 0, false],
+    ['one target', [[0, 't1']], 0, false],
+    [
+      'one target twice',
+      [
+        [0, 't1'],
+        [5_000, 't1'],
+      ],
+      0,
+      false,
+    ],
+    [
+      'two targets',
+      [
+        [0, 't1'],
+        [0, 't2'],
+      ],
+      0,
+      true,
+    ],
+    [
+      'just under ten minutes',
+      [
+        [0, 't1'],
+        [0, 't2'],
+      ],
+      suspicionMs - 1,
+      true,
+    ],
+    [
+      'ten minutes',
+      [
+        [0, 't1'],
+        [0, 't2'],
+      ],
+      suspicionMs,
+      false,
+    ],
+    [
+      'second loss within ten minutes',
+      [
+        [0, 't1'],
+        [suspicionMs - 1, 't2'],
+      ],
+      0,
+      true,
+    ],
+    [
+      'second loss later',
+      [
+        [0, 't1'],
+        [suspicionMs, 't2'],
+      ],
+      0,
+      false,
+    ],
+    [
+      'counted from the last loss',
+      [
+        [0, 't1'],
+        [9_000, 't2'],
+      ],
+      suspicionMs - 1,
+      true,
+    ],
+  ])('%s', (_name, losses, thenMs, expected) => {
+    const time = new ManualTime(startMs);
+    const guard = new PoisonGuard(time);
+    for (const [afterMs, targetId] of losses) {
+      time.advance(afterMs);
+      guard.recordLostTarget('f', targetId);
+    }
+    time.advance(thenMs);
+    expect(guard.isQuarantined('f')).toBe(expected);
+    expect(guard.isQuarantined('other')).toBe(false);
+  });
+
+  // Guards against two instances that each know of one lost target and both send the request again.
+  test('losses at two instances count together', () => {
+    const one = guardWith([guardWith().recordLostTarget('f', 't1')]);
+    const suspicion = one.recordLostTarget('f', 't2');
+    expect(suspicion.targetIds).toEqual(['t1', 't2']);
+    expect(one.isQuarantined('f')).toBe(true);
+  });
+
+  // Guards against instances that disagree because messages came in another order, twice or in other parts.
+  test('merging is commutative, associative and idempotent', () => {
+    fc.assert(
+      fc.property(anyList, anyList, anyList, (a, b, c) => {
+        const merged = guardWith(a, b, c).suspicions();
+        expect(guardWith(c, b, a).suspicions()).toEqual(merged);
+        expect(
+          guardWith(guardWith(a).suspicions(), guardWith(b, c).suspicions()).suspicions(),
+        ).toEqual(merged);
+        expect(guardWith(a, b, a, c, c, merged).suspicions()).toEqual(merged);
+      }),
+      {seed: 20261203, numRuns: 500},
+    );
+  });
+
+  // Guards against a peer with a wrong clock that quarantines a request for days.
+  test('no suspicion outlives ten minutes', () => {
+    const guard = guardWith([
+      {fingerprint: 'f', targetIds: ['t1', 't2'], untilMs: startMs + 86_400_000},
+    ]);
+    expect(guard.suspicions().map(entry => entry.untilMs)).toEqual([startMs + suspicionMs]);
+  });
+
+  // Guards against memory that grows with the number of fingerprints, and against losing the newest.
+  test.each(['recorded', 'merged'])('keeps the newest 1,000 fingerprints, %s', how => {
+    const time = new ManualTime(startMs);
+    const guard = new PoisonGuard(time);
+    for (let n = 0; n < maxFingerprints + 50; n += 1) {
+      time.advance(1);
+      const untilMs = time.nowMs() + suspicionMs;
+      if (how === 'recorded') guard.recordLostTarget(`f${n}`, 't1');
+      else guard.mergeSuspicions([{fingerprint: `f${n}`, targetIds: ['t1'], untilMs}]);
+    }
+    const kept = new Set(guard.suspicions().map(entry => entry.fingerprint));
+    expect(kept.size).toBe(maxFingerprints);
+    expect([kept.has('f49'), kept.has('f50'), kept.has('f1049')]).toEqual([false, true, true]);
+  });
+});
--- /dev/null
+++ b/packages/steering/src/poison_guard.ts
@@ -0,0 +1,97 @@
+/**
+ * Keeps a request that takes targets down from reaching more of them. A fingerprint that lost two distinct
+ * targets is refused for ten minutes. Instances exchange suspicions; merging them in any order and any number
+ * of times gives the same result, as long as the bound on their number is not reached.
+ */
+import type {PoisonSuspicion} from '@cuminsill/types';
+import type {TimeSource} from '@cuminsill/utils';
+import type {PoisonDecisions} from './steering_types';
+
+/** How long a suspicion is remembered after the last loss. */
+export const suspicionMs = 600_000;
+
+/** Distinct targets that a request must have taken down before it is refused. */
+export const targetsUntilQuarantine = 2;
+
+/** Fingerprints remembered at most; the oldest suspicion is dropped first. */
+export const maxFingerprints = 1_000;
+
+/** Two targets decide; a few more are kept for operators, and the bound keeps messages small. */
+const maxTargetsPerSuspicion = 8;
+
+/** The suspicions of one instance. */
+export class PoisonGuard implements PoisonDecisions {
+  private readonly byFingerprint = new Map<string, PoisonSuspicion>();
+
+  /** @param time Wall-clock times are compared between instances. */
+  constructor(private readonly time: TimeSource) {}
+
+  /** True when the request must not be sent. */
+  isQuarantined(fingerprint: string): boolean {
+    const suspicion = this.byFingerprint.get(fingerprint);
+    if (suspicion === undefined || suspicion.untilMs <= this.time.nowMs()) return false;
+    return suspicion.targetIds.length >= targetsUntilQuarantine;
+  }
+
+  /** Notes that a target stopped answering while it ran the request; returns the suspicion to spread. */
+  recordLostTarget(fingerprint: string, targetId: string): PoisonSuspicion {
+    const untilMs = this.time.nowMs() + suspicionMs;
+    const merged = this.mergeOne({fingerprint, targetIds: [targetId], untilMs});
+    this.dropOldest();
+    return merged;
+  }
+
+  /** Adds what other instances suspect. Expired suspicions and those without a target are ignored. */
+  mergeSuspicions(suspicions: readonly PoisonSuspicion[]): void {
+    const nowMs = this.time.nowMs();
+    for (const suspicion of suspicions) {
+      if (suspicion.untilMs <= nowMs || suspicion.targetIds.length === 0) continue;
+      // A peer whose clock is ahead must not extend a quarantine beyond ten minutes from now.
+      const untilMs = Math.min(suspicion.untilMs, nowMs + suspicionMs);
+      this.mergeOne({...suspicion, untilMs});
+    }
+    this.dropOldest();
+  }
+
+  /** Suspicions that have not expired, ordered by fingerprint. */
+  suspicions(): readonly PoisonSuspicion[] {
+    this.dropExpired();
+    return [...this.byFingerprint.values()].sort((a, b) =>
+      a.fingerprint < b.fingerprint ? -1 : 1,
+    );
+  }
+
+  private mergeOne(added: PoisonSuspicion): PoisonSuspicion {
+    const {fingerprint} = added;
+    const known = this.byFingerprint.get(fingerprint);
+    const current = known !== undefined && known.untilMs > this.time.nowMs() ? known : undefined;
+    const targetIds = [...new Set([...(current?.targetIds ?? []), ...added.targetIds])];
+    const merged: PoisonSuspicion = {
+      fingerprint,
+      targetIds: targetIds.sort().slice(0, maxTargetsPerSuspicion),
+      untilMs: Math.max(current?.untilMs ?? 0, added.untilMs),
+    };
+    this.byFingerprint.set(fingerprint, merged);
+    return merged;
+  }
+
+  private dropOldest(): void {
+    if (this.byFingerprint.size <= maxFingerprints) return;
+    this.dropExpired();
+    const excess = this.byFingerprint.size - maxFingerprints;
+    if (excess <= 0) return;
+    const oldestFirst = [...this.byFingerprint.values()].sort(
+      (a, b) => a.untilMs - b.untilMs || (a.fingerprint < b.fingerprint ? -1 : 1),
+    );
+    for (const {fingerprint} of oldestFirst.slice(0, excess)) {
+      this.byFingerprint.delete(fingerprint);
+    }
+  }
+
+  private dropExpired(): void {
+    const nowMs = this.time.nowMs();
+    for (const [fingerprint, suspicion] of this.byFingerprint) {
+      if (suspicion.untilMs <= nowMs) this.byFingerprint.delete(fingerprint);
+    }
+  }
+}
