Add the stand-ins for the store, the instance list, targets and callers

The daemons, the load tool and the demo need a platform to run against.

MemoryStore notified every watcher on every write, and each notification searched all objects. It now notifies only watchers whose prefix matches.

--- /dev/null
+++ b/packages/standins/src/example_files.ts
@@ -0,0 +1,42 @@
+/** Files of an example deployment, as they are kept under `examples/`. */
+import type {Deployment, DeploymentName} from './deployment';
+import {makeDeployment} from './deployment';
+import type {StandinSettings} from './settings';
+
+/** One file with its content. */
+export interface ExampleFile {
+  readonly name: string;
+  readonly text: string;
+}
+
+const controlPorts: Readonly<Record<DeploymentName, number>> = {boletines: 20_100, carpas: 21_100};
+
+/** Settings of the stand-ins for a deployment; file names are relative to the settings file. */
+export function standinSettings(name: DeploymentName): StandinSettings {
+  const port = controlPorts[name];
+  return {
+    host: '127.0.0.1',
+    storePort: port,
+    instanceListPort: port + 1,
+    targetControlPort: port + 2,
+    instanceListLagMs: 5000,
+    seed: 1,
+    targetMode: {coldRequests: 20, coldFactor: 2},
+    catalogFile: 'catalog.json',
+    instancesFile: 'instances.json',
+  };
+}
+
+/** All files of one example deployment. */
+export function exampleFiles(name: DeploymentName): readonly ExampleFile[] {
+  const deployment: Deployment = makeDeployment(name);
+  const contents: ReadonlyArray<readonly [string, unknown]> = [
+    ['catalog.json', deployment.catalog],
+    ['instances.json', deployment.instances],
+    ['standins.json', standinSettings(name)],
+  ];
+  return contents.map(([file, content]) => ({
+    name: file,
+    text: `${JSON.stringify(content, null, 2)}\n`,
+  }));
+}
--- a/packages/standins/src/memory_store.ts
+++ b/packages/standins/src/memory_store.ts
@@ -188,7 +188,9 @@
       return;
     }
     this.objects.set(key, {key, value, version: this.lastVersion});
-    for (const watcher of [...this.watchers]) watcher.notify();
+    for (const watcher of [...this.watchers]) {
+      if (key.startsWith(watcher.prefix) && key > watcher.afterKey) watcher.notify();
+    }
   }
 
   private matching(prefix: string, afterKey: string): readonly StoredObject[] {
--- /dev/null
+++ b/packages/standins/src/settings.ts
@@ -0,0 +1,102 @@
+/** Settings of `cuminsill-standins`, and the start of everything that they name. */
+import type {Catalog, Instance, SocketAddress, Target} from '@cuminsill/types';
+import {systemTime} from '@cuminsill/utils';
+import {IpAddress, numberBetween, wholeNumberBetween} from '@cuminsill/validation';
+import {Schema} from 'effect';
+import type {RunningServer} from './http_tools';
+import {InstanceList, startInstanceListServer} from './instance_list_server';
+import type {ListedInstance} from './instance_list_server';
+import {MemoryStore} from './memory_store';
+import {startStoreServer} from './store_server';
+import {TargetFleet} from './target_fleet';
+import type {TargetMode} from './target_mode';
+import {defaultTargetMode} from './target_mode';
+
+const port = wholeNumberBetween(0, 65_535);
+const milliseconds = numberBetween(0, 3_600_000);
+
+const ModeChangeSchema = Schema.partial(
+  Schema.Struct({
+    state: Schema.Literal('serving', 'leaving', 'stopped'),
+    serviceMs: milliseconds,
+    spread: numberBetween(0, 1),
+    coldRequests: wholeNumberBetween(0, 1_000_000),
+    coldFactor: numberBetween(1, 1000),
+    statedHealth: Schema.Literal('true', 'healthy', 'failing'),
+    statedLoad: Schema.Literal('true', 'idle', 'full'),
+    reportLagMs: milliseconds,
+    crashMs: milliseconds,
+  }),
+);
+
+/** Settings of the stand-ins. Port 0 takes any free port. */
+export const StandinSettingsSchema = Schema.Struct({
+  host: IpAddress,
+  storePort: port,
+  instanceListPort: port,
+  targetControlPort: port,
+  /** Age of the instance list in milliseconds. */
+  instanceListLagMs: milliseconds,
+  seed: wholeNumberBetween(0, 0x7fff_ffff),
+  /** Behaviour of all targets; the service time comes from the service's contract unless it is given. */
+  targetMode: ModeChangeSchema,
+  catalogFile: Schema.String,
+  instancesFile: Schema.String,
+});
+
+/** Settings of the stand-ins. */
+export type StandinSettings = typeof StandinSettingsSchema.Type;
+
+/** What the settings name, read from files. */
+export interface StandinInputs {
+  readonly settings: StandinSettings;
+  readonly catalog: Catalog;
+  readonly instances: readonly Instance[];
+}
+
+/** Stand-ins that run. */
+export interface RunningStandins {
+  readonly storeAddress: SocketAddress;
+  readonly instanceListAddress: SocketAddress;
+  readonly targetControlAddress: SocketAddress;
+  readonly store: MemoryStore;
+  readonly fleet: TargetFleet;
+  close(): Promise<void>;
+}
+
+/** Starts the store, the instance list and all targets. */
+export async function startStandins(inputs: StandinInputs): Promise<RunningStandins> {
+  const {settings, catalog, instances} = inputs;
+  const store = new MemoryStore();
+  const listed = instances.map((instance): ListedInstance => ({instance, state: 'live'}));
+  const list = new InstanceList(listed, settings.instanceListLagMs, systemTime);
+  const serviceMs = new Map(
+    catalog.services.map(service => [service.id, service.expectedServiceMs]),
+  );
+  const modeOf = (target: Target): TargetMode => ({
+    ...defaultTargetMode,
+    serviceMs: serviceMs.get(target.serviceId) ?? defaultTargetMode.serviceMs,
+    ...settings.targetMode,
+  });
+  const fleet = await TargetFleet.start(catalog.targets, modeOf, settings.seed);
+  const servers: readonly RunningServer[] = await Promise.all([
+    startStoreServer(store, settings.host, settings.storePort),
+    startInstanceListServer(list, settings.host, settings.instanceListPort),
+    fleet.startControl(settings.host, settings.targetControlPort),
+  ]);
+  const [storeServer, listServer, controlServer] = servers as [
+    RunningServer,
+    RunningServer,
+    RunningServer,
+  ];
+  return {
+    storeAddress: storeServer.address,
+    instanceListAddress: listServer.address,
+    targetControlAddress: controlServer.address,
+    store,
+    fleet,
+    close: async () => {
+      await Promise.all([...servers.map(server => server.close()), fleet.close()]);
+    },
+  };
+}
