Add the operators' command line

Operators need to plan, confirm and inspect changes, and scripts need exit codes that say whether anything was changed.

--- /dev/null
+++ b/packages/cli/src/cli_io.ts
@@ -0,0 +1,32 @@
+/** What a command needs from the process, so that tests can replace it. */
+import {createInterface} from 'node:readline/promises';
+
+/** Streams, environment and waiting. */
+export interface CliIo {
+  /** Writes to standard output. */
+  print(text: string): void;
+  /** Writes to standard error. */
+  printError(text: string): void;
+  /** Asks on the terminal; undefined when there is no terminal. */
+  ask(question: string): Promise<string | undefined>;
+  /** Waits; false when the command should end. */
+  sleep(durationMs: number): Promise<boolean>;
+  readonly environment: Readonly<Record<string, string | undefined>>;
+}
+
+/** The streams of the process. Questions go to standard error, so that standard output stays parseable. */
+export const processIo: CliIo = {
+  print: text => void process.stdout.write(text),
+  printError: text => void process.stderr.write(text),
+  ask: async question => {
+    if (!process.stdin.isTTY) return undefined;
+    const terminal = createInterface({input: process.stdin, output: process.stderr});
+    try {
+      return await terminal.question(question);
+    } finally {
+      terminal.close();
+    }
+  },
+  sleep: durationMs => new Promise(resolve => setTimeout(() => resolve(true), durationMs)),
+  environment: process.env,
+};
