--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -1,1 +1,2 @@
-export {};
+/** The control daemon. */
+export * from './control_daemon';
--- /dev/null
+++ b/packages/control/src/peer_links.ts
@@ -0,0 +1,79 @@
+/** Calls to other control processes: heartbeats, configuration, status. */
+import {create} from '@bufbuild/protobuf';
+import type {ConfigTransport} from '@cuminsill/config_sync';
+import {ConfigTransportError} from '@cuminsill/config_sync';
+import type {HeartbeatTransport} from '@cuminsill/membership';
+import {HeartbeatError} from '@cuminsill/membership';
+import type {
+  GetStatusReply,
+  HeartbeatReply,
+  HeartbeatRequest,
+  PeerClients,
+  PullReply,
+  PullRequest,
+  PushReply,
+  PushRequest,
+  RefusalRecord,
+} from '@cuminsill/protocol';
+import {
+  ConfigService,
+  GetStatusRequestSchema,
+  MembershipService,
+  StatusService,
+} from '@cuminsill/protocol';
+import type {Instance, SocketAddress} from '@cuminsill/types';
+import {Effect} from 'effect';
+
+/** Reaches other control processes over connect-es. */
+export class PeerLinks implements HeartbeatTransport, ConfigTransport {
+  constructor(private readonly clients: PeerClients) {}
+
+  heartbeat(
+    address: SocketAddress,
+    request: HeartbeatRequest,
+  ): Effect.Effect<HeartbeatReply, HeartbeatError> {
+    return Effect.tryPromise({
+      try: signal => this.clients.of(MembershipService, address).heartbeat(request, {signal}),
+      catch: error => new HeartbeatError({detail: String(error)}),
+    });
+  }
+
+  push(peer: Instance, request: PushRequest): Effect.Effect<PushReply, ConfigTransportError> {
+    return Effect.tryPromise({
+      try: signal =>
+        this.clients.of(ConfigService, peer.controlPeerAddress).push(request, {signal}),
+      catch: error => new ConfigTransportError({detail: String(error)}),
+    });
+  }
+
+  pull(peer: Instance, request: PullRequest): Effect.Effect<PullReply, ConfigTransportError> {
+    return Effect.tryPromise({
+      try: signal =>
+        this.clients.of(ConfigService, peer.controlPeerAddress).pull(request, {signal}),
+      catch: error => new ConfigTransportError({detail: String(error)}),
+    });
+  }
+
+  /** Status of another instance; undefined when it does not answer in time. */
+  async status(peer: Instance): Promise<GetStatusReply | undefined> {
+    try {
+      const client = this.clients.of(StatusService, peer.controlPeerAddress);
+      return await client.getStatus(create(GetStatusRequestSchema), {timeoutMs: statusTimeoutMs});
+    } catch {
+      return undefined;
+    }
+  }
+
+  /** A refusal that another instance remembers; undefined when it does not, or does not answer. */
+  async findRefusal(peer: Instance, requestId: string): Promise<RefusalRecord | undefined> {
+    try {
+      const client = this.clients.of(StatusService, peer.controlPeerAddress);
+      const reply = await client.findRefusal({requestId}, {timeoutMs: statusTimeoutMs});
+      return reply.refusal;
+    } catch {
+      return undefined;
+    }
+  }
+}
+
+const statusTimeoutMs = 1000;
--- a/packages/entry/src/control_link.ts
+++ b/packages/entry/src/control_link.ts
@@ -82,6 +82,7 @@
           answeredTotal: BigInt(load.answeredTotal),
           refusedTotal: BigInt(load.refusedTotal),
         })),
+        sites: steering.siteLoads().map(site => ({...site})),
         shares: steering.appliedShares().map(share => ({...share})),
         refusals: this.parts
           .recentRefusals()
--- a/packages/steering/src/steering.ts
+++ b/packages/steering/src/steering.ts
@@ -8,6 +8,7 @@
   Member,
   ResultError,
   ServiceLoad,
+  SiteLoad,
   Target,
   TargetReport,
 } from '@cuminsill/types';
@@ -173,6 +174,15 @@
     return this.pools.all().map(queue => queue.load());
   }
 
+  siteLoads(): readonly SiteLoad[] {
+    const inFlight = new Map<string, number>();
+    for (const {slot} of this.used.values()) {
+      const {siteId} = slot.state.target;
+      inFlight.set(siteId, (inFlight.get(siteId) ?? 0) + 1);
+    }
+    return [...inFlight].map(([siteId, count]) => ({siteId, inFlight: count}));
+  }
+
   appliedShares(): readonly AppliedShare[] {
     return [...this.routes.values()].flatMap(byRegion =>
       [...byRegion.values()].flatMap(route => route.appliedShares()),
--- a/packages/steering/src/steering_types.ts
+++ b/packages/steering/src/steering_types.ts
@@ -9,6 +9,7 @@
   PoisonSuspicion,
   ResultError,
   ServiceLoad,
+  SiteLoad,
   Target,
   TargetReport,
   TrafficClass,
@@ -109,6 +110,8 @@
   /** Targets that this entry has to probe. */
   targetsToProbe(): readonly Target[];
   loads(): readonly ServiceLoad[];
+  /** Sites with requests in flight. */
+  siteLoads(): readonly SiteLoad[];
   appliedShares(): readonly AppliedShare[];
   /** Re-evaluates waits and expiries; called every 50 ms and after updates. */
   tick(): void;
--- a/packages/types/src/operator_api.ts
+++ b/packages/types/src/operator_api.ts
@@ -1,7 +1,7 @@
 /**
  * Bodies of the operators' HTTP API. All times are UTC.
  *
- * - `POST /v1/plans` with a {@link PlanRequest} answers a {@link Plan}; nothing changes.
+ * - `POST /v1/plans` with a {@link PlanRequest} or {@link CatalogPlanRequest} answers a {@link Plan}; nothing changes.
  * - `POST /v1/plans/confirm` with a {@link ConfirmRequest} answers a {@link ConfirmReply}.
  * - `GET /v1/intents` answers `{configVersion, intents: ConfirmedIntent[]}`; `GET /v1/intents/<id>` one of them.
  * - `GET /v1/status` answers a {@link StatusReply}.
@@ -9,10 +9,10 @@
  *
  * Errors are an {@link ErrorBody} with the status of the result code.
  */
-import type {ConfigurationChangeBody} from './configuration';
+import type {Catalog, ConfigurationChangeBody} from './configuration';
 import type {Intent, RegionShare} from './intent';
 import type {Reachability} from './membership';
-import type {AppliedShare, ServiceLoad} from './reports';
+import type {AppliedShare, ServiceLoad, SiteLoad} from './reports';
 import type {Outcome} from './result_codes';
 import type {InstanceState} from './topology';
 
@@ -21,6 +21,12 @@
   | {readonly action: 'put'; readonly intent: Intent}
   | {readonly action: 'remove'; readonly intentId: string};
 
+/** Asks what a new catalog would change. */
+export interface CatalogPlanRequest {
+  readonly action: 'put-catalog';
+  readonly catalog: Catalog;
+}
+
 /** Shares of one service and caller region before and after. */
 export interface ShareChange {
   readonly serviceId: string;
@@ -101,6 +107,7 @@
   readonly ageMs?: number;
   readonly loads: readonly ServiceLoad[];
   readonly shares: readonly AppliedShare[];
+  readonly sites: readonly SiteLoad[];
 }
 
 /** Load of one service in one region, summed over the instances that answered. */
--- a/packages/types/src/reports.ts
+++ b/packages/types/src/reports.ts
@@ -37,6 +37,12 @@
   readonly refusedTotal: number;
 }
 
+/** Requests of one entry that are in flight at one site. */
+export interface SiteLoad {
+  readonly siteId: string;
+  readonly inFlight: number;
+}
+
 /** Share of a service's requests from one caller region that an entry sends to one target region. */
 export interface AppliedShare {
   readonly serviceId: string;
--- a/packages/validation/src/domain_schemas.ts
+++ b/packages/validation/src/domain_schemas.ts
@@ -1,12 +1,19 @@
 /** Schemas of the domain objects in `@cuminsill/types`. */
-import type {Catalog, Configuration, ConfigurationChange, Intent} from '@cuminsill/types';
+import type {
+  Catalog,
+  Configuration,
+  ConfigurationChange,
+  ConfigurationChangeBody,
+  Intent,
+} from '@cuminsill/types';
 import {Schema} from 'effect';
 import {Identifier, numberBetween, SocketAddressSchema, wholeNumberBetween} from './fields';
 
 const text = Schema.String.pipe(Schema.maxLength(200));
 const milliseconds = wholeNumberBetween(0, Number.MAX_SAFE_INTEGER);
 
-const RegionShareSchema = Schema.Struct({regionId: Identifier, share: numberBetween(0, 1)});
+/** Share of one region. */
+export const RegionShareSchema = Schema.Struct({regionId: Identifier, share: numberBetween(0, 1)});
 
 const sharesAddUpTo1 = Schema.Array(RegionShareSchema).pipe(
   Schema.filter(
@@ -87,21 +94,24 @@
   ),
 });
 
+/** What one change changes. */
+export const ConfigurationChangeBodySchema: Schema.Schema<ConfigurationChangeBody> = Schema.Union(
+  Schema.Struct({kind: Schema.Literal('put-catalog'), catalog: CatalogSchema}),
+  Schema.Struct({
+    kind: Schema.Literal('put-intent'),
+    intent: IntentSchema,
+    previousShares: Schema.Array(RegionShareSchema),
+  }),
+  Schema.Struct({kind: Schema.Literal('remove-intent'), intentId: Identifier}),
+);
+
 /** One record of the configuration log. */
 export const ConfigurationChangeSchema: Schema.Schema<ConfigurationChange> = Schema.Struct({
   version: wholeNumberBetween(1, Number.MAX_SAFE_INTEGER),
   author: text,
   acceptedAtMs: milliseconds,
   planDigest: text,
-  body: Schema.Union(
-    Schema.Struct({kind: Schema.Literal('put-catalog'), catalog: CatalogSchema}),
-    Schema.Struct({
-      kind: Schema.Literal('put-intent'),
-      intent: IntentSchema,
-      previousShares: Schema.Array(RegionShareSchema),
-    }),
-    Schema.Struct({kind: Schema.Literal('remove-intent'), intentId: Identifier}),
-  ),
+  body: ConfigurationChangeBodySchema,
 });
 
 /** A whole configuration, as instances hand it to each other. */
--- a/packages/validation/src/index.ts
+++ b/packages/validation/src/index.ts
@@ -3,3 +3,4 @@
 export * from './domain_schemas';
 export * from './fields';
 export * from './settings';
+export * from './operator_schemas';
