Add membership: heartbeats, gossip and the view of instances

Cause: look-ups, slot division, claim owners, watchers and fan-out need a view of all instances that costs each node the same at any fleet size.

Ruled out: full-mesh heartbeats (cost grows with the fleet); suspicion timers of the same length at all instances (an instance that only heard of a suspicion would decide before the refutation reaches it); random peers in other regions that change after a miss (a lost region would never be missed three times in a row by one peer).

Change: ring monitoring of four successors, two random peers in other regions that are kept after a miss until they answer or are suspected, refutation by incarnation, bounded spreading, target reports and poison suspicions on the same messages, checks of every received field, a pausable virtual clock for simulations.

--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -1,1 +1,3 @@
-export {};
+/** Heartbeats and gossip between control processes, and the view of all instances that results. */
+export * from './membership';
+export * from './options';
