--- a/packages/control/src/own_entry.ts
+++ b/packages/control/src/own_entry.ts
@@ -25,12 +25,15 @@
 
   /** Takes a report and passes on what other instances need. */
   receive(report: EntryReport): void {
+    const nowMs = this.time.nowMs();
     this.report = report;
     this.reportedAtMs = this.time.monotonicMs();
     this.membership.addTargetReports(
-      report.targetReports.flatMap(wire => reportFromWire(wire) ?? []),
+      report.targetReports.flatMap(wire => reportFromWire(wire, nowMs) ?? []),
+    );
+    this.membership.addSuspicions(
+      report.suspicions.flatMap(wire => suspicionFromWire(wire, nowMs) ?? []),
     );
-    this.membership.addSuspicions(report.suspicions.flatMap(wire => suspicionFromWire(wire) ?? []));
     for (const refusal of report.refusals) this.remember(refusal);
     this.updateState();
   }
--- a/packages/entry/src/control_link.ts
+++ b/packages/entry/src/control_link.ts
@@ -118,6 +118,7 @@
 
   private adopt(snapshot: Snapshot): void {
     const {view, steering, poison, logger} = this.parts;
+    const nowMs = this.parts.time.nowMs();
     this.lastSnapshotAtMs = this.parts.time.monotonicMs();
     this.contactAgeMs = Number(snapshot.contactAgeMs);
     if (snapshot.configurationJson.length > 0) {
@@ -140,8 +141,12 @@
       view.adoptMembers(members);
       steering.updateMembers(members);
     }
-    steering.updateReports(snapshot.targetReports.flatMap(wire => reportFromWire(wire) ?? []));
-    poison.mergeSuspicions(snapshot.suspicions.flatMap(wire => suspicionFromWire(wire) ?? []));
+    steering.updateReports(
+      snapshot.targetReports.flatMap(wire => reportFromWire(wire, nowMs) ?? []),
+    );
+    poison.mergeSuspicions(
+      snapshot.suspicions.flatMap(wire => suspicionFromWire(wire, nowMs) ?? []),
+    );
     steering.updateContactAge(this.currentContactAgeMs());
     steering.tick();
   }
--- a/packages/entry/src/entry_daemon.ts
+++ b/packages/entry/src/entry_daemon.ts
@@ -124,7 +124,7 @@
     const forwarder = new Forwarder({
       steering,
       poison,
-      retryBudgetOf: retryBudgets(),
+      retryBudget: new RetryBudget(),
       claims,
       background,
       connections,
@@ -193,15 +193,6 @@
   );
 }
 
-function retryBudgets(): (serviceId: string) => RetryBudget {
-  const budgets = new Map<string, RetryBudget>();
-  return serviceId => {
-    const budget = budgets.get(serviceId) ?? new RetryBudget();
-    budgets.set(serviceId, budget);
-    return budget;
-  };
-}
-
 /** The control process that owns the claim shard of a key, in this entry's view of the members. */
 function ownerOfKey(key: string, view: EntryView): string | undefined {
   const shard = shardOfKey(key, view.claimShards);
--- a/packages/entry/src/finish_answer.ts
+++ b/packages/entry/src/finish_answer.ts
@@ -26,7 +26,7 @@
       parts.steering.release(assignment, result, durationMs);
       recordAnswer(parts, flight, status, durationMs);
     });
-  parts.retryBudgetOf(call.contract.id).recordSuccess();
+  if (status < 500) parts.retryBudget.recordSuccess(call.contract.id);
   const remainingMs = Math.max(0, call.deadlineMs - parts.time.monotonicMs());
   return relayResponse(response, flight.response, {
     keepBytes,
--- a/packages/entry/src/forwarder_parts.ts
+++ b/packages/entry/src/forwarder_parts.ts
@@ -13,7 +13,7 @@
 export interface ForwarderParts {
   readonly steering: SteeringDecisions;
   readonly poison: PoisonDecisions;
-  readonly retryBudgetOf: (serviceId: string) => RetryBudget;
+  readonly retryBudget: RetryBudget;
   readonly claims: Pick<ClaimSession, 'claim' | 'complete'>;
   /** Runs reports that the caller does not wait for; a stop waits for them. */
   readonly background: FiberSet.FiberSet;
--- a/packages/entry/src/try_targets.ts
+++ b/packages/entry/src/try_targets.ts
@@ -161,7 +161,7 @@
     progress.lostConnections <= 1 &&
     progress.attempts < parts.maxAttempts &&
     body.canSend &&
-    parts.retryBudgetOf(call.contract.id).tryRetry();
+    parts.retryBudget.tryRetry(call.contract.id);
   if (mayRetry) return undefined;
   if (mayHaveRun) return new ResultError(resultCodes.targetFailed);
   const detail = `${progress.attempts} targets did not take the request.`;
--- a/packages/steering/src/steering.ts
+++ b/packages/steering/src/steering.ts
@@ -177,7 +177,7 @@
   siteLoads(): readonly SiteLoad[] {
     const inFlight = new Map<string, number>();
     for (const {slot} of this.used.values()) {
-      const {siteId} = slot.state.target;
+      const {siteId} = slot.target.target;
       inFlight.set(siteId, (inFlight.get(siteId) ?? 0) + 1);
     }
     return [...inFlight].map(([siteId, count]) => ({siteId, inFlight: count}));
