--- a/packages/entry/src/slot_exchange.ts
+++ b/packages/entry/src/slot_exchange.ts
@@ -14,7 +14,7 @@
   readonly view: EntryView;
   readonly clients: PeerClients;
   readonly time: TimeSource;
-  readonly steering: () => SteeringDecisions;
+  readonly steering: SteeringDecisions;
 }
 
 /** Peers that are asked before the borrower gives up until its next attempt. */
@@ -51,8 +51,7 @@
   service(): ServiceImpl<typeof SlotService> {
     return {
       borrow: request => ({
-        loans: this.parts
-          .steering()
+        loans: this.parts.steering
           .lendSlots(
             request.borrowerInstanceId,
             request.serviceId,
@@ -62,7 +61,7 @@
           .map(loan => ({...loan})),
       }),
       return: request => {
-        this.parts.steering().takeBackLoans(request.loanIds);
+        this.parts.steering.takeBackLoans(request.loanIds);
         return {};
       },
     };
@@ -96,7 +95,7 @@
         wantedSlots,
         configVersion: BigInt(view.configuration.version),
       });
-      this.parts.steering().acceptLoans(peer.instance.id, reply.loans, askedAtMs);
+      this.parts.steering.acceptLoans(peer.instance.id, reply.loans, askedAtMs);
       return reply.loans.length;
     } catch {
       // The peer is gone or slow. What it may have lent expires by itself.
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -12,3 +12,4 @@
 export * from './target_answer';
 export * from './target_fleet';
 export * from './target_mode';
+export * from './instance_settings';
