--- a/packages/control/src/operator_server.ts
+++ b/packages/control/src/operator_server.ts
@@ -93,8 +93,9 @@
     const operator = this.authenticate(request);
     const candidates = this.routes.filter(route => route.path.test(path));
     const route = candidates.find(candidate => candidate.method === request.method);
-    if (route === undefined)
+    if (route === undefined) {
       throw new ResultError(resultCodes.notFound, `No operation at ${path}.`);
+    }
     if (route.role === 'operator' && operator.role !== 'operator') {
       throw new ResultError(resultCodes.forbidden, `"${operator.name}" may only read.`);
     }
