--- a/packages/planner/src/plan_headroom.ts
+++ b/packages/planner/src/plan_headroom.ts
@@ -55,16 +55,22 @@
   const services = new Map(
     input.before.configuration.catalog.services.map(service => [service.id, service]),
   );
+  const measured = measuredByService(input.live);
   return input.serviceIds.flatMap(serviceId => {
     const service = services.get(serviceId);
-    return service === undefined ? [] : serviceFigures(input, service);
+    if (service === undefined) return [];
+    return serviceFigures(input, service, measured.get(serviceId) ?? new Map());
   });
 }
 
-function serviceFigures(input: HeadroomInput, service: ServiceContract): HeadroomFigures[] {
+function serviceFigures(
+  input: HeadroomInput,
+  service: ServiceContract,
+  measured: RatesByRegion,
+): HeadroomFigures[] {
   const {before, after} = input;
   const {regions} = before.configuration.catalog;
-  const flows = currentFlows(input, service.id);
+  const flows = currentFlows(input, service.id, measured);
   const now = sumByRegion(flows, flow => flow.current);
   const unchanged = sumByRegion(flows, flow => flow.moveTo(before));
   const changed = sumByRegion(flows, flow => flow.moveTo(after));
@@ -87,9 +93,12 @@
   });
 }
 
-function currentFlows(input: HeadroomInput, serviceId: string): readonly Flow[] {
-  const {before, live, nowMs} = input;
-  const measured = measuredByRegion(live, serviceId);
+function currentFlows(
+  input: HeadroomInput,
+  serviceId: string,
+  measured: RatesByRegion,
+): readonly Flow[] {
+  const {before, nowMs} = input;
   const demanded = demandFlows(before, serviceId, before.configuration.catalog.regions, nowMs);
   const configured = sumByRegion(demanded, flow => flow.current);
   const scaled = demanded.map(flow => flow.scaledTo(configured, measured));
@@ -166,8 +175,7 @@
   nowMs: number,
 ): readonly CallerFlow[] {
   const demands: RatesByRegion = new Map();
-  for (const demand of before.configuration.catalog.demands) {
-    if (demand.serviceId !== serviceId) continue;
+  for (const demand of before.demandsOf(serviceId)) {
     add(demands, demand.callerRegionId, demand.requestsPerS);
   }
   return regions.flatMap(({id}) => {
@@ -211,10 +219,13 @@
     .map(([regionId, rate]) => new UnattributedFlow(serviceId, regionId, rate));
 }
 
-function measuredByRegion(live: LiveLoads, serviceId: string): RatesByRegion {
-  const measured: RatesByRegion = new Map();
+/** Measured rates by service and region, grouped once per plan. */
+function measuredByService(live: LiveLoads): ReadonlyMap<string, RatesByRegion> {
+  const measured = new Map<string, RatesByRegion>();
   for (const load of live.loads) {
-    if (load.serviceId === serviceId) add(measured, load.regionId, load.requestsPerS);
+    const rates = measured.get(load.serviceId) ?? new Map<string, number>();
+    add(rates, load.regionId, load.requestsPerS);
+    measured.set(load.serviceId, rates);
   }
   return measured;
 }
--- a/packages/planner/src/plan_risks.ts
+++ b/packages/planner/src/plan_risks.ts
@@ -175,8 +175,9 @@
 }
 
 function oldFigureRisks(input: RiskInput): readonly PlanRisk[] {
+  const concerned = new Set(input.serviceIds);
   return input.live.loads
-    .filter(load => input.serviceIds.includes(load.serviceId))
+    .filter(load => concerned.has(load.serviceId))
     .filter(load => input.nowMs - load.measuredAtMs > measuredMaxAgeMs)
     .map(load => {
       const ageS = Math.round((input.nowMs - load.measuredAtMs) / 1000);
--- a/packages/planner/src/traffic_view.ts
+++ b/packages/planner/src/traffic_view.ts
@@ -5,6 +5,7 @@
 import type {
   Configuration,
   ConfirmedIntent,
+  Demand,
   RegionShare,
   RouteIntent,
   Target,
@@ -68,7 +69,11 @@
   private readonly drained: ReadonlySet<string>;
   private readonly usable = new Map<string, Map<string, Target[]>>();
   private readonly routes = new Map<string, ConfirmedRoute[]>();
-  private readonly latencies = new Map<string, number>();
+  private readonly demands = new Map<string, Demand[]>();
+  /** One-way latency in milliseconds by region and other region. */
+  private readonly latencies = new Map<string, Map<string, number>>();
+  /** A plan reads the same final shares for share changes, headroom and risks. */
+  private readonly finalSharesByRoute = new Map<string, readonly RegionShare[]>();
 
   /** @param configuration The configuration to read; it is not changed. */
   constructor(readonly configuration: Configuration) {
@@ -81,6 +86,11 @@
     for (const target of configuration.catalog.targets) {
       if (!drained.has(target.siteId)) this.addTarget(target);
     }
+    for (const demand of configuration.catalog.demands) {
+      const demands = this.demands.get(demand.serviceId);
+      if (demands === undefined) this.demands.set(demand.serviceId, [demand]);
+      else demands.push(demand);
+    }
     for (const link of configuration.catalog.links) {
       this.addLatency(link.fromRegionId, link.toRegionId, link.oneWayLatencyMs);
       this.addLatency(link.toRegionId, link.fromRegionId, link.oneWayLatencyMs);
@@ -97,6 +107,11 @@
     return this.usable.get(serviceId)?.get(regionId) ?? [];
   }
 
+  /** Configured demands for the service. */
+  demandsOf(serviceId: string): readonly Demand[] {
+    return this.demands.get(serviceId) ?? [];
+  }
+
   /** Regions with at least one usable target for the service. */
   usableRegionIds(serviceId: string): readonly string[] {
     return [...(this.usable.get(serviceId)?.keys() ?? [])];
@@ -119,8 +134,14 @@
 
   /** Shares when all moves are finished; empty when the service has no usable target. */
   finalShares(serviceId: string, callerRegionId: string): readonly RegionShare[] {
-    const newest = this.routes.get(routeKey(serviceId, callerRegionId))?.at(-1);
-    return this.overUsableRegions(serviceId, callerRegionId, newest?.intent.shares ?? []);
+    const key = routeKey(serviceId, callerRegionId);
+    let shares = this.finalSharesByRoute.get(key);
+    if (shares === undefined) {
+      const newest = this.routes.get(key)?.at(-1);
+      shares = this.overUsableRegions(serviceId, callerRegionId, newest?.intent.shares ?? []);
+      this.finalSharesByRoute.set(key, shares);
+    }
+    return shares;
   }
 
   /** Shares at the scheduled position of the ramp. */
@@ -167,10 +188,11 @@
 
   private nearestUsableRegion(serviceId: string, callerRegionId: string): string | undefined {
     const regionIds = this.usable.get(serviceId)?.keys() ?? [];
+    const latencies = this.latencies.get(callerRegionId);
     let nearest: string | undefined;
     let nearestMs = Infinity;
     for (const regionId of regionIds) {
-      const latencyMs = this.latencyMs(callerRegionId, regionId);
+      const latencyMs = regionId === callerRegionId ? 0 : (latencies?.get(regionId) ?? Infinity);
       const better = latencyMs === nearestMs ? regionId < (nearest ?? '') : latencyMs < nearestMs;
       if (nearest === undefined || better) {
         nearest = regionId;
@@ -180,14 +202,10 @@
     return nearest;
   }
 
-  private latencyMs(fromRegionId: string, toRegionId: string): number {
-    if (fromRegionId === toRegionId) return 0;
-    return this.latencies.get(`${fromRegionId}/${toRegionId}`) ?? Infinity;
-  }
-
   private addLatency(fromRegionId: string, toRegionId: string, oneWayLatencyMs: number): void {
-    const key = `${fromRegionId}/${toRegionId}`;
-    this.latencies.set(key, Math.min(oneWayLatencyMs, this.latencies.get(key) ?? Infinity));
+    const others = this.latencies.get(fromRegionId) ?? new Map<string, number>();
+    others.set(toRegionId, Math.min(oneWayLatencyMs, others.get(toRegionId) ?? Infinity));
+    this.latencies.set(fromRegionId, others);
   }
 
   private addRoute(route: ConfirmedRoute): void {
