--- a/packages/planner/__tests__/confirm_plan.test.ts
+++ b/packages/planner/__tests__/confirm_plan.test.ts
@@ -95,6 +95,11 @@
     expect(verifyPlan({...made, ...changed}, signingKey)).toBe(false);
   });
 
+  // Guards against a request body that ends the handler with a TypeError.
+  test.each([null, undefined, 'plan', 7, [], {}])('refuses %j', body => {
+    expect(verifyPlan(body as unknown as Plan, signingKey)).toBe(false);
+  });
+
   test('refuses a plan of another deployment', () => {
     expect(verifyPlan(made, 'another-key')).toBe(false);
   });
--- a/packages/planner/__tests__/make_plan.test.ts
+++ b/packages/planner/__tests__/make_plan.test.ts
@@ -166,6 +166,22 @@
       plan(move, undefined, {loads: [], coldTargetIds: ['proofs-litoral-2']}),
       /1 of 4 targets of service proofs in litoral are cold/,
     ],
+    [
+      'cold targets take over within a region',
+      plan(drain('litoral-a'), sampleConfiguration(50), {
+        loads: [],
+        coldTargetIds: ['proofs-litoral-2'],
+      }),
+      /1 of 2 targets of service proofs in litoral are cold/,
+    ],
+    [
+      'targets return from a drain',
+      plan(
+        {action: 'remove', intentId: 'drain-este-a'},
+        withIntents(sampleConfiguration(10), [drain('este-a')]),
+      ),
+      /2 of 4 targets of service photos in este are cold/,
+    ],
     [
       'two moves overlap',
       plan(route({este: 1}, {id: 'r2'}), half),
--- a/packages/planner/src/confirm_plan.ts
+++ b/packages/planner/src/confirm_plan.ts
@@ -24,8 +24,12 @@
   return {...content, digest: planDigest, signature};
 }
 
-/** True when an instance with the same key made the plan and nothing of it was changed. */
+/**
+ * True when an instance with the same key made the plan and nothing of it was changed. The plan may come from
+ * outside unchecked: whatever the type says, any other value gives false.
+ */
 export function verifyPlan(plan: Plan, signingKey: SigningKey): boolean {
+  if (typeof plan !== 'object' || plan === null) return false;
   const {digest: planDigest, signature, ...content} = plan;
   const text = canonicalJson(content);
   const expected = sign(signingKey, planPurpose, text).toString('base64url');
--- a/packages/planner/src/plan_risks.ts
+++ b/packages/planner/src/plan_risks.ts
@@ -142,18 +142,23 @@
     );
 }
 
+/** Targets are cold when they return from a drain, when they started lately, and when their region is unused. */
 function coldTargetRisks(input: RiskInput): readonly PlanRisk[] {
   const cold = new Set(input.live.coldTargetIds);
   return input.headroom.flatMap(row => {
-    if (row.afterRequestsPerS <= row.beforeRequestsPerS + rateTolerance) return [];
-    const targets = input.after.usableTargets(row.serviceId, row.regionId);
+    const takesMore =
+      row.afterRequestsPerS > row.beforeRequestsPerS + rateTolerance ||
+      row.capacityRequestsPerS < row.unchangedCapacityRequestsPerS - rateTolerance;
     const unused = row.beforeRequestsPerS <= rateTolerance;
-    const count = unused ? targets.length : targets.filter(target => cold.has(target.id)).length;
+    const targets = input.after.usableTargets(row.serviceId, row.regionId);
+    const count = targets.filter(
+      target =>
+        input.before.isDrained(target.siteId) || (takesMore && (unused || cold.has(target.id))),
+    ).length;
     if (count === 0) return [];
-    const cause = unused ? 'the region serves no request of this service now' : 'started lately';
     return warning(
-      `${count} of ${targets.length} targets of service ${row.serviceId} in ${row.regionId} are cold ` +
-        `(${cause}); they answer more slowly at first and take traffic in steps.`,
+      `${count} of ${targets.length} targets of service ${row.serviceId} in ${row.regionId} are cold; ` +
+        `they answer more slowly at first and take traffic in steps.`,
     );
   });
 }
