Test steering with properties

Cause: shares, division, loans and the queue must hold for any sequence of events, not for chosen cases.

--- /dev/null
+++ b/packages/steering/__tests__/slot_division.test.ts
@@ -0,0 +1,102 @@
+import type {Member} from '@cuminsill/types';
+import fc from 'fast-check';
+import {makeConfiguration, makeMembers, makeService, makeTargets} from '../__fixtures__/fleets';
+import type {PoolDivision} from '../src';
+import {divideSlots, RouteTable} from '../src';
+
+const regionIds = ['a', 'b', 'c'];
+const targets = regionIds.flatMap(regionId => makeTargets('s', regionId, 12, 3));
+
+function divide(
+  members: readonly Member[],
+  demands: readonly number[] = [1, 1, 1],
+): readonly PoolDivision[] {
+  const configuration = makeConfiguration(regionIds, [makeService('s')], targets, {
+    demands: regionIds.map((callerRegionId, index) => ({
+      serviceId: 's',
+      callerRegionId,
+      requestsPerS: demands[index] ?? 0,
+    })),
+  });
+  return divideSlots(configuration, new RouteTable(configuration), members);
+}
+
+function ownersOf(pools: readonly PoolDivision[]): ReadonlyMap<string, string> {
+  const owners = new Map<string, string>();
+  for (const {entries} of pools) {
+    for (const {instanceId, slots} of entries) {
+      for (const {targetId, slotIndex} of slots) {
+        const key = `${targetId}/${slotIndex}`;
+        if (owners.has(key)) throw new Error(`slot ${key} has two owners`);
+        owners.set(key, instanceId);
+      }
+    }
+  }
+  return owners;
+}
+
+describe('divideSlots', () => {
+  const members = makeMembers(regionIds, 5);
+  const subsetArbitrary = fc.subarray([...members], {minLength: 1});
+  const demandsArbitrary = fc.array(fc.integer({min: 0, max: 50}), {minLength: 3, maxLength: 3});
+
+  test('gives each slot to exactly one entry, whatever the members and demands', () => {
+    const property = fc.property(subsetArbitrary, demandsArbitrary, (subset, demands) => {
+      expect(ownersOf(divide(subset, demands)).size).toBe(targets.length * 3);
+    });
+    fc.assert(property, {seed: 21, numRuns: 100});
+  });
+
+  test('does not depend on the order of the members', () => {
+    const property = fc.property(fc.shuffledSubarray([...members], {minLength: 1}), subset => {
+      const sorted = [...subset].sort((a, b) => (a.instance.id < b.instance.id ? -1 : 1));
+      expect([...ownersOf(divide(subset))]).toEqual([...ownersOf(divide(sorted))]);
+    });
+    fc.assert(property, {seed: 22, numRuns: 50});
+  });
+
+  test('entries of equal weight differ by at most one slot in a pool', () => {
+    const property = fc.property(subsetArbitrary, demandsArbitrary, (subset, demands) => {
+      const regionOf = new Map(subset.map(({instance}) => [instance.id, instance.regionId]));
+      for (const {entries} of divide(subset, demands)) {
+        const byRegion = new Map<string, number[]>();
+        for (const {instanceId, slots} of entries) {
+          const regionId = regionOf.get(instanceId) ?? '';
+          byRegion.set(regionId, [...(byRegion.get(regionId) ?? []), slots.length]);
+        }
+        for (const counts of byRegion.values()) {
+          expect(Math.max(...counts) - Math.min(...counts)).toBeLessThanOrEqual(1);
+        }
+      }
+    });
+    fc.assert(property, {seed: 23, numRuns: 100});
+  });
+
+  test('members that leave or cannot be reached hold no slots', () => {
+    const [first, second, ...others] = members;
+    if (first === undefined || second === undefined) throw new Error('members are missing');
+    const changed: readonly Member[] = [
+      {...first, state: 'leaving'},
+      {...second, reachability: 'unreachable'},
+      ...others,
+    ];
+    const holders = new Set(ownersOf(divide(changed)).values());
+    expect(holders.has(first.instance.id)).toBe(false);
+    expect(holders.has(second.instance.id)).toBe(false);
+    expect(holders.size).toBe(others.length);
+  });
+
+  test('slots follow the expected traffic', () => {
+    const pools = divide(
+      members.filter(({instance}) => instance.regionId !== 'c'),
+      [10, 10, 30],
+    );
+    const slotsIn = (regionId: string): number =>
+      pools
+        .filter(pool => pool.regionId === regionId)
+        .flatMap(pool => pool.entries)
+        .filter(entry => entry.instanceId.startsWith('a'))
+        .reduce((sum, entry) => sum + entry.slots.length, 0);
+    expect([slotsIn('a'), slotsIn('b')]).toEqual([36, 0]);
+  });
+});
