Add the policy bench

Cause: the policy has to be measured against capacity, slots and caps, and against plain baselines. Ruled out: real processes, whose timing would hide the policy.

--- /dev/null
+++ b/packages/steering/__fixtures__/bench_metrics.ts
@@ -0,0 +1,163 @@
+/** What the policy bench counts. */
+import type {AppliedShare, TrafficClass} from '@cuminsill/types';
+import {trafficClasses} from '@cuminsill/types';
+import type {FakeTarget} from './bench_targets';
+
+/** Requests in a window below this number say little about a share. */
+const fewestRequests = 100;
+const windowS = 60;
+
+/** Figures of one run. */
+export interface BenchFigures {
+  readonly offered: number;
+  readonly answered: number;
+  readonly possible: number;
+  /** Answered requests against what the surviving capacity could answer. */
+  readonly goodputShare: number;
+  /** Answered against offered, by class. */
+  readonly answeredShare: Readonly<Record<TrafficClass, number>>;
+  /** Largest number of requests that entries had at one endpoint at once, against its slots. */
+  readonly endpointPeakShare: number;
+  readonly endpointPeakRunningShare: number;
+  readonly regionPeakShare: number;
+  /** Largest share of a route's requests at one entry that moved within a window. */
+  readonly movedShare: number;
+  readonly shedShare: number;
+  readonly failedShare: number;
+  readonly refusals: Readonly<Record<string, number>>;
+  readonly latencyMs: Readonly<Record<TrafficClass, {readonly p50: number; readonly p99: number}>>;
+}
+
+class RouteWindow {
+  private readonly sharesBySecond: ReadonlyMap<string, number>[] = [];
+  private readonly buckets: Map<string, number>[] = [];
+  largestMoved = 0;
+
+  /** Begins a second with the shares in force. */
+  beginSecond(shares: ReadonlyMap<string, number>): void {
+    this.sharesBySecond.push(shares);
+    this.buckets.push(new Map());
+    if (this.buckets.length % 10 === 0) this.evaluate();
+  }
+
+  /** Counts a request against the shares of one window earlier. */
+  count(regionId: string): void {
+    const bucket = this.buckets.at(-1);
+    const earlier = this.sharesBySecond[this.sharesBySecond.length - 1 - windowS];
+    if (bucket === undefined || earlier === undefined) return;
+    bucket.set(regionId, (bucket.get(regionId) ?? 0) + 1);
+    for (const [id, share] of earlier) bucket.set(id, (bucket.get(id) ?? 0) - share);
+    bucket.set('', (bucket.get('') ?? 0) + 1);
+  }
+
+  private evaluate(): void {
+    const sums = new Map<string, number>();
+    for (const bucket of this.buckets.slice(-windowS)) {
+      for (const [id, value] of bucket) sums.set(id, (sums.get(id) ?? 0) + value);
+    }
+    const requests = sums.get('') ?? 0;
+    if (requests < fewestRequests) return;
+    sums.delete('');
+    const moved = [...sums.values()].reduce((sum, value) => sum + Math.abs(value), 0) / 2;
+    this.largestMoved = Math.max(this.largestMoved, moved / requests);
+  }
+}
+
+/** Counts one run. */
+export class BenchMetrics {
+  offered = 0;
+  possible = 0;
+  shed = 0;
+  failed = 0;
+  attempts = 0;
+  private regionPeak = 0;
+  private readonly answeredMs: Record<TrafficClass, number[]> = {
+    interactive: [],
+    upload: [],
+    batch: [],
+  };
+  private readonly offeredByClass: Record<TrafficClass, number> = {
+    interactive: 0,
+    upload: 0,
+    batch: 0,
+  };
+  private readonly refusals = new Map<string, number>();
+  private readonly windows = new Map<string, RouteWindow>();
+
+  countOffered(trafficClass: TrafficClass): void {
+    this.offered += 1;
+    this.offeredByClass[trafficClass] += 1;
+  }
+
+  countAnswer(trafficClass: TrafficClass, latencyMs: number): void {
+    this.answeredMs[trafficClass].push(latencyMs);
+  }
+
+  countRefusal(name: string): void {
+    this.refusals.set(name, (this.refusals.get(name) ?? 0) + 1);
+  }
+
+  /** Counts where a request of a route went at an entry. */
+  countMove(entryId: string, serviceId: string, callerRegionId: string, regionId: string): void {
+    this.windows.get(JSON.stringify([entryId, serviceId, callerRegionId]))?.count(regionId);
+  }
+
+  /** Notes the shares that an entry applies from this second on. */
+  beginSecond(entryId: string, shares: readonly AppliedShare[]): void {
+    const routes = new Map<string, Map<string, number>>();
+    for (const {serviceId, callerRegionId, targetRegionId, share} of shares) {
+      const key = JSON.stringify([entryId, serviceId, callerRegionId]);
+      const byRegion = routes.get(key) ?? new Map<string, number>();
+      byRegion.set(targetRegionId, share);
+      routes.set(key, byRegion);
+    }
+    for (const [key, byRegion] of routes) {
+      const window = this.windows.get(key) ?? new RouteWindow();
+      window.beginSecond(byRegion);
+      this.windows.set(key, window);
+    }
+  }
+
+  /** Notes the load of one service in one region. */
+  sampleRegion(targets: readonly FakeTarget[]): void {
+    const slots = targets.reduce((sum, {target}) => sum + target.slots, 0);
+    const sent = targets.reduce((sum, entry) => sum + entry.sent, 0);
+    this.regionPeak = Math.max(this.regionPeak, sent / slots);
+  }
+
+  figures(targets: readonly FakeTarget[]): BenchFigures {
+    const all = trafficClasses.flatMap(trafficClass => this.answeredMs[trafficClass]).length;
+    const shareOfSlots = (count: (target: FakeTarget) => number): number =>
+      Math.max(...targets.map(entry => count(entry) / entry.target.slots));
+    return {
+      offered: this.offered,
+      answered: all,
+      possible: Math.round(this.possible),
+      goodputShare: all / this.possible,
+      answeredShare: this.byClass(
+        name => this.answeredMs[name].length / Math.max(1, this.offeredByClass[name]),
+      ),
+      endpointPeakShare: shareOfSlots(entry => entry.peakSent),
+      endpointPeakRunningShare: shareOfSlots(entry => entry.peakRunning),
+      regionPeakShare: this.regionPeak,
+      movedShare: Math.max(0, ...[...this.windows.values()].map(window => window.largestMoved)),
+      shedShare: this.shed / Math.max(1, this.attempts),
+      failedShare: this.failed / Math.max(1, this.attempts),
+      refusals: Object.fromEntries(this.refusals),
+      latencyMs: this.byClass(name => {
+        const sorted = Float64Array.from(this.answeredMs[name]).sort();
+        const at = (part: number): number =>
+          Math.round(sorted[Math.floor((sorted.length - 1) * part)] ?? 0);
+        return {p50: at(0.5), p99: at(0.99)};
+      }),
+    };
+  }
+
+  private byClass<Value>(value: (name: TrafficClass) => Value): Record<TrafficClass, Value> {
+    return {
+      interactive: value('interactive'),
+      upload: value('upload'),
+      batch: value('batch'),
+    };
+  }
+}
--- /dev/null
+++ b/packages/steering/__fixtures__/bench_targets.ts
@@ -0,0 +1,81 @@
+/** Fake targets of the bench: slots, service time, shedding, cold start and misleading behaviour. */
+import type {Target, TargetReport} from '@cuminsill/types';
+import type {RandomSource} from '@cuminsill/utils';
+
+/** How a target misbehaves. */
+export type TargetFault =
+  | 'none'
+  /** Answers an error within 2 ms and reports that it is idle. */
+  | 'fails-fast'
+  /** Has one slot left for this system and reports that it is idle. */
+  | 'full-but-idle';
+
+/** What a target does with a request that arrives. */
+export type TargetReply =
+  | {readonly kind: 'silent'}
+  | {readonly kind: 'shed'; readonly afterMs: number}
+  | {readonly kind: 'failed'; readonly afterMs: number}
+  | {readonly kind: 'runs'; readonly afterMs: number};
+
+/** A target that starts is this many times slower at first, and warm after `coldMs`. */
+const coldFactor = 4;
+const coldMs = 20_000;
+
+/** One fake target. */
+export class FakeTarget {
+  alive = true;
+  running = 0;
+  peakRunning = 0;
+  /** Requests that entries have sent and not yet released. */
+  sent = 0;
+  peakSent = 0;
+  private startedAtMs = -Infinity;
+
+  constructor(
+    readonly target: Target,
+    private readonly serviceMs: number,
+    readonly fault: TargetFault,
+    private readonly random: RandomSource,
+  ) {}
+
+  /** Slots that requests can really use. */
+  get usableSlots(): number {
+    if (!this.alive || this.fault === 'fails-fast') return 0;
+    return this.fault === 'full-but-idle' ? 1 : this.target.slots;
+  }
+
+  /** Starts again with a cold cache. */
+  restart(nowMs: number): void {
+    this.alive = true;
+    this.running = 0;
+    this.startedAtMs = nowMs;
+  }
+
+  /** Decides about a request; one that runs must be ended by `finish`. */
+  arrive(nowMs: number): TargetReply {
+    if (!this.alive) return {kind: 'silent'};
+    if (this.fault === 'fails-fast') return {kind: 'failed', afterMs: 2};
+    if (this.running >= this.usableSlots) return {kind: 'shed', afterMs: 1};
+    this.running += 1;
+    this.peakRunning = Math.max(this.peakRunning, this.running);
+    const coldPart = Math.max(0, 1 - (nowMs - this.startedAtMs) / coldMs);
+    const factor = 1 + (coldFactor - 1) * coldPart;
+    // Between half and one and a half times the mean.
+    return {kind: 'runs', afterMs: this.serviceMs * factor * (0.5 + this.random.next())};
+  }
+
+  /** Ends a request that ran. */
+  finish(): void {
+    this.running = Math.max(0, this.running - 1);
+  }
+
+  /** What a probe would see; undefined when nothing answers. */
+  probe(nowMs: number): TargetReport {
+    return {
+      targetId: this.target.id,
+      health: this.alive ? 'healthy' : 'failing',
+      reportedInFlight: this.fault === 'none' ? this.running : 0,
+      observedAtMs: nowMs,
+    };
+  }
+}
--- /dev/null
+++ b/packages/steering/__fixtures__/measure_policy.ts
@@ -0,0 +1,83 @@
+/** Runs the policy bench and prints a table, then JSON. `--scenario <text>` runs only matching scenarios. */
+import {deployments} from './bench_deployments';
+import type {BenchFigures} from './bench_metrics';
+import type {PolicyName} from './bench_run';
+import {BenchRun} from './bench_run';
+import {scenarios} from './bench_scenarios';
+
+interface ResultRow extends BenchFigures {
+  readonly deployment: string;
+  readonly scenario: string;
+  readonly policy: PolicyName;
+  readonly cap: number;
+}
+
+const baselineNames: readonly PolicyName[] = ['random', 'round-robin', 'least-in-flight'];
+
+function argument(name: string): string {
+  const index = process.argv.indexOf(name);
+  return index < 0 ? '' : (process.argv[index + 1] ?? '');
+}
+
+function percent(value: number): string {
+  return `${(value * 100).toFixed(1)}%`;
+}
+
+function runAll(): readonly ResultRow[] {
+  const rows: ResultRow[] = [];
+  const wanted = argument('--scenario');
+  const onlySteering = process.argv.includes('--steering-only');
+  for (const deployment of deployments) {
+    for (const scenario of scenarios.filter(({name}) => name.includes(wanted))) {
+      const policies: readonly PolicyName[] =
+        scenario.baselines && !onlySteering ? ['steering', ...baselineNames] : ['steering'];
+      for (const policy of policies) {
+        const run = new BenchRun(deployment, {
+          policy,
+          load: scenario.load,
+          serviceIds: deployment.services.slice(0, scenario.services).map(({id}) => id),
+          reports: scenario.reports ?? 'late',
+          faults: true,
+          seed: 7,
+        });
+        scenario.prepare?.(run, deployment);
+        const figures = run.run(scenario.durationS);
+        const {name} = deployment;
+        rows.push({
+          deployment: name,
+          scenario: scenario.name,
+          policy,
+          cap: scenario.cap,
+          ...figures,
+        });
+      }
+    }
+  }
+  return rows;
+}
+
+function printTable(rows: readonly ResultRow[]): void {
+  console.table(
+    rows.map(row => ({
+      deployment: row.deployment,
+      scenario: row.scenario,
+      policy: row.policy,
+      goodput: percent(row.goodputShare),
+      interactive: percent(row.answeredShare.interactive),
+      upload: percent(row.answeredShare.upload),
+      batch: percent(row.answeredShare.batch),
+      'endpoint peak': percent(row.endpointPeakShare),
+      'region peak': percent(row.regionPeakShare),
+      moved: `${percent(row.movedShare)} of ${percent(row.cap)}`,
+      shed: percent(row.shedShare),
+      failed: percent(row.failedShare),
+      'int. p50/p99': `${row.latencyMs.interactive.p50}/${row.latencyMs.interactive.p99}`,
+      'upl. p50/p99': `${row.latencyMs.upload.p50}/${row.latencyMs.upload.p99}`,
+      'batch p50/p99': `${row.latencyMs.batch.p50}/${row.latencyMs.batch.p99}`,
+    })),
+  );
+}
+
+const results = runAll();
+printTable(results);
+console.log(JSON.stringify(results));
