Add the load generator and the bench

Latency, throughput and memory have to be measured, and the promises checked under load.

cuminsill-load sends an open-loop load with seeded arrivals from stand-in callers in every region, and counts latency from the time at which a request was due. The bench uses its own framing of responses over kept connections, in worker threads, because Node's http client takes more processor time per request than the servers that it measures. It starts one bare server for each thread to show its own ceiling.

--- a/packages/loadtool/src/index.ts
+++ b/packages/loadtool/src/index.ts
@@ -1,1 +1,7 @@
-export {};
+/** Load generator, bench, demo and replay of traces. */
+export * from './arrivals';
+export * from './bench';
+export * from './bench_report';
+export * from './load_report';
+export * from './load_run';
+export * from './load_settings';
--- a/packages/standins/src/example_files.ts
+++ b/packages/standins/src/example_files.ts
@@ -27,6 +27,21 @@
   };
 }
 
+/** Settings of `cuminsill-load` that send the expected demand of a deployment for 30 s. */
+function loadSettings(deployment: Deployment): object {
+  const demand = deployment.catalog.demands.reduce((sum, entry) => sum + entry.requestsPerS, 0);
+  return {
+    catalogFile: 'catalog.json',
+    lookupAddresses: deployment.instances.map(instance => instance.callerAddress),
+    ratePerS: Math.round(demand),
+    durationS: 30,
+    maxRequests: 1_000_000,
+    maxInFlight: 10_000,
+    callersPerRegion: 20,
+    seed: 1,
+  };
+}
+
 /** All files of one example deployment. */
 export function exampleFiles(name: DeploymentName): readonly ExampleFile[] {
   const deployment: Deployment = makeDeployment(name);
@@ -34,6 +49,7 @@
     ['catalog.json', deployment.catalog],
     ['instances.json', deployment.instances],
     ['standins.json', standinSettings(name)],
+    ['load.json', loadSettings(deployment)],
   ];
   return contents.map(([file, content]) => ({
     name: file,
--- a/packages/standins/src/target.ts
+++ b/packages/standins/src/target.ts
@@ -18,7 +18,8 @@
 import type {Target} from '@cuminsill/types';
 import type {RandomSource, TimeSource} from '@cuminsill/utils';
 import {listen, sendJson} from './http_tools';
-import {makeAnswerStream} from './target_answer';
+import {makeAnswerStream, makeEmptyBodyAnswer} from './target_answer';
+import type {AnswerHead} from './target_answer';
 import type {TargetMode, TargetRecord} from './target_mode';
 
 interface ReportedState {
@@ -165,7 +166,10 @@
     this.running.add(response);
     this.counts.peakInFlight = Math.max(this.counts.peakInFlight, this.running.size);
     this.note();
-    const serviceTimer = setTimeout(() => this.echo(request, response), this.nextServiceMs());
+    const serviceMs = this.nextServiceMs();
+    // Without a service time the answer must not wait for a timer, which takes at least a millisecond.
+    const serviceTimer =
+      serviceMs > 0 ? setTimeout(() => this.echo(request, response), serviceMs) : undefined;
     const timeoutMs = Number(request.headers['x-request-timeout-ms'] ?? 0);
     const deadlineTimer =
       timeoutMs > 0 ? setTimeout(() => this.giveUp(request, response), timeoutMs) : undefined;
@@ -178,23 +182,30 @@
       if (response.writableFinished) this.counts.answered += 1;
       else this.counts.cancelled += 1;
     });
+    if (serviceTimer === undefined) this.echo(request, response);
   }
 
   private echo(request: http.IncomingMessage, response: http.ServerResponse): void {
-    const answer = makeAnswerStream(
-      {
-        targetId: this.target.id,
-        serviceId: this.target.serviceId,
-        requestNumber: String(request.headers['x-standin-request-number'] ?? ''),
-        idempotencyKey: String(request.headers['idempotency-key'] ?? ''),
-        method: request.method ?? '',
-        path: request.url ?? '',
-      },
-      Number(request.headers['x-standin-answer-bytes'] ?? 0),
-    );
-    response.writeHead(200, {'content-type': 'application/octet-stream'});
+    const head: AnswerHead = {
+      targetId: this.target.id,
+      serviceId: this.target.serviceId,
+      requestNumber: String(request.headers['x-standin-request-number'] ?? ''),
+      idempotencyKey: String(request.headers['idempotency-key'] ?? ''),
+      method: request.method ?? '',
+      path: request.url ?? '',
+    };
+    const fillerBytes = Number(request.headers['x-standin-answer-bytes'] ?? 0);
+    const contentType = 'application/octet-stream';
+    if (hasNoBody(request)) {
+      const answer = makeEmptyBodyAnswer(head, fillerBytes);
+      const contentLength = Buffer.byteLength(answer);
+      response.writeHead(200, {'content-type': contentType, 'content-length': contentLength});
+      response.end(answer);
+      return;
+    }
+    response.writeHead(200, {'content-type': contentType});
     // A lost connection is counted when the response closes.
-    pipeline(request, answer, response, () => undefined);
+    pipeline(request, makeAnswerStream(head, fillerBytes), response, () => undefined);
   }
 
   private giveUp(request: http.IncomingMessage, response: http.ServerResponse): void {
@@ -243,3 +254,9 @@
     return report ?? {atMs, inFlight: 0, state: this.mode.state};
   }
 }
+
+/** Such requests are answered without streams, which take most of the time of a small request. */
+function hasNoBody(request: http.IncomingMessage): boolean {
+  const {'content-length': length, 'transfer-encoding': encoding} = request.headers;
+  return encoding === undefined && (length === undefined || length === '0');
+}
--- a/packages/standins/src/target_answer.ts
+++ b/packages/standins/src/target_answer.ts
@@ -30,6 +30,8 @@
   readonly whole: boolean;
 }
 
+const emptyDigest = createHash('sha256').digest('base64url');
+
 /** Makes a stream that turns a request body into an answer, chunk by chunk. */
 export function makeAnswerStream(head: AnswerHead, fillerBytes: number): Transform {
   const hash = createHash('sha256');
@@ -51,6 +53,12 @@
   return stream;
 }
 
+/** The whole answer to a request without a body. */
+export function makeEmptyBodyAnswer(head: AnswerHead, fillerBytes: number): string {
+  const tail: AnswerTail = {digest: emptyDigest, bodyBytes: 0, fillerBytes};
+  return `${JSON.stringify(head)}\n${'.'.repeat(fillerBytes)}\n${JSON.stringify(tail)}\n`;
+}
+
 /** Checks an answer against the request that it should belong to; undefined when it has no head. */
 export function checkAnswer(
   answer: Buffer,
