Add the skeleton of the demo with its checks of the promises

The demo has to show on both deployments that every promise holds, and must not pass when one is broken.

--- /dev/null
+++ b/packages/loadtool/src/bin/demo.ts
@@ -0,0 +1,58 @@
+#!/usr/bin/env node
+/** `npm run demo`: runs both example deployments and checks every promise. */
+import {mkdtempSync, rmSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import {deploymentNames} from '@cuminsill/standins';
+import {Command, InvalidArgumentError} from 'commander';
+import {missingDaemons} from '../daemon_settings';
+import {runDemo} from '../demo/demo_run';
+import type {DemoResult} from '../demo/demo_run';
+import {loadReportText} from '../load_report';
+import {failProgram, packageVersion} from '../program';
+import {formatTextTable} from '../text_table';
+
+interface DemoCommandOptions {
+  readonly durationS: number;
+  readonly seed: number;
+}
+
+function wholeNumber(text: string): number {
+  const value = Number(text);
+  if (Number.isInteger(value) && value >= 1 && value <= 3600) return value;
+  throw new InvalidArgumentError('use a whole number from 1 to 3600');
+}
+
+async function run(options: DemoCommandOptions): Promise<void> {
+  const missing = missingDaemons();
+  if (missing.length > 0) throw new Error(`not built: ${missing.join(', ')}`);
+  const directory = mkdtempSync(join(tmpdir(), 'cuminsill-demo-'));
+  const startedAtMs = performance.now();
+  try {
+    const runs = await Promise.allSettled(
+      deploymentNames.map(name => runDemo(name, {...options, directory: join(directory, name)})),
+    );
+    for (const settled of runs) {
+      if (settled.status === 'fulfilled') printResult(settled.value);
+      else failProgram(settled.reason);
+    }
+  } finally {
+    rmSync(directory, {recursive: true});
+  }
+  process.stdout.write(`took ${((performance.now() - startedAtMs) / 1000).toFixed(1)} s\n`);
+}
+
+function printResult(result: DemoResult): void {
+  const rows = result.checks.map(check => [check.holds ? 'yes' : 'NO', check.name, check.detail]);
+  process.stdout.write(`${result.name}\n\n${loadReportText(result.report)}\n`);
+  process.stdout.write(`${formatTextTable(['HOLDS', 'PROMISE', 'FOUND'], rows)}\n`);
+  if (result.checks.some(check => !check.holds)) process.exitCode = 1;
+}
+
+new Command('demo')
+  .description('Runs both example deployments and checks every promise.')
+  .version(packageVersion())
+  .option('--duration-s <seconds>', 'length of the load', wholeNumber, 30)
+  .option('--seed <number>', 'seed of the arrivals', wholeNumber, 1)
+  .action((options: DemoCommandOptions) => run(options).catch(failProgram))
+  .parse();
