Add the replay of traces

The design is verified by replaying recorded traces against stated outcomes.

Kinds of scenarios are a lookup table.

--- /dev/null
+++ b/packages/loadtool/src/replay/scenario_kinds.ts
@@ -0,0 +1,8 @@
+/** Kinds of scenarios that `cuminsill-replay` knows. A new kind is one more entry. */
+import type {ScenarioKind} from './scenario';
+import {startStoreLogScenario} from './store_log_scenario';
+
+/** Kinds by the name in the header of a trace. */
+export const scenarioKinds: Readonly<Record<string, ScenarioKind>> = {
+  'store-log': startStoreLogScenario,
+};
