--- a/packages/entry/src/caller_server.ts
+++ b/packages/entry/src/caller_server.ts
@@ -3,7 +3,7 @@
  * without a fiber, because they are by far the most frequent requests.
  */
 import * as http from 'node:http';
-import type {Socket} from 'node:net';
+import type {AddressInfo, Socket} from 'node:net';
 import type {ClaimSession} from '@cuminsill/claims';
 import type {Metrics} from '@cuminsill/logger';
 import {makeRequestId} from '@cuminsill/planner';
@@ -48,6 +48,8 @@
   private requestCounter = 0;
   private openConnections = 0;
   private inFlight = 0;
+  private closing = false;
+  private readonly open = new Set<http.ServerResponse>();
 
   constructor(private readonly parts: CallerServerParts) {
     const {settings} = parts;
@@ -83,22 +85,48 @@
     });
   }
 
+  /** The port that the server listens on. */
+  port(): number {
+    return (this.server.address() as AddressInfo).port;
+  }
+
   /** Requests that have no final answer yet. */
   requestsInFlight(): number {
     return this.inFlight;
   }
 
+  /**
+   * Asks callers to close their connections: every response whose head is not sent yet says so. Called when the instance
+   * starts to leave.
+   */
+  discourageReuse(): void {
+    for (const response of this.open) {
+      if (!response.headersSent) response.shouldKeepAlive = false;
+    }
+  }
+
   /** Stops listening and resolves when the last request in flight has been answered. */
   async close(): Promise<void> {
+    this.closing = true;
     await new Promise<void>(resolve => this.server.close(() => resolve()));
   }
 
+  private track(response: http.ServerResponse): void {
+    this.open.add(response);
+    if (this.parts.state() === 'leaving') response.shouldKeepAlive = false;
+    response.once('close', () => {
+      this.open.delete(response);
+      // A response whose head was sent before the stop leaves its connection open.
+      if (this.closing) setImmediate(() => this.server.closeIdleConnections());
+    });
+  }
+
   private handle(request: http.IncomingMessage, response: http.ServerResponse): void {
     const url = request.url ?? '/';
     const route = this.routes.find(candidate => url.startsWith(candidate.prefix));
-    if (this.parts.state() === 'leaving') response.setHeader('connection', 'close');
+    this.track(response);
     if (this.openConnections > this.parts.settings.maxConnections) {
-      response.setHeader('connection', 'close');
+      response.shouldKeepAlive = false;
       this.refuse(request, response, new ResultError(resultCodes.connectionLimit));
       return;
     }
--- a/packages/entry/src/entry_daemon.ts
+++ b/packages/entry/src/entry_daemon.ts
@@ -53,6 +53,7 @@
     Effect.sync(() => logger.stateChange('info', {component: 'entry', state}, message));
   return Effect.gen(function* () {
     parts.lifecycle.state = 'leaving';
+    parts.callerServer.discourageReuse();
     yield* logState('leaving', 'stopping; look-up answers no longer name this instance');
     yield* parts.controlLink.sendReport();
     yield* Effect.sleep(Duration.seconds(settings.lookupTtlS + settings.stopMarginS));
--- a/packages/entry/src/finish_answer.ts
+++ b/packages/entry/src/finish_answer.ts
@@ -34,17 +34,35 @@
     finishWithoutCaller: !call.idempotent,
     remainingMs,
   }).pipe(
-    Effect.tap(end => release(resultOfRelay(end, status))),
+    Effect.tap(end => release(resultsOfRelay[end.kind] ?? resultOfStatus(status))),
+    Effect.tap(end => Effect.sync(() => notePoison(parts, flight, answered, end))),
     Effect.onInterrupt(() => release('cancelled')),
   );
 }
 
-function resultOfRelay(end: RelayEnd, status: number): AttemptResult {
-  if (end.kind === 'cut') return 'connection-lost';
-  if (end.kind === 'caller-gone') return 'cancelled';
+const resultsOfRelay: Readonly<Record<RelayEnd['kind'], AttemptResult | undefined>> = {
+  whole: undefined,
+  cut: 'connection-lost',
+  deadline: 'timed-out',
+  'caller-gone': 'cancelled',
+};
+
+function resultOfStatus(status: number): AttemptResult {
   return status >= 500 ? 'failed' : 'answered';
 }
 
+function notePoison(
+  parts: ForwarderParts,
+  flight: Flight,
+  answered: Answered,
+  end: RelayEnd,
+): void {
+  if (end.kind === 'whole') parts.poison.recordAnswered(flight.fingerprint);
+  if (end.kind !== 'cut') return;
+  parts.poison.recordLostTarget(flight.fingerprint, answered.assignment.target.id);
+  parts.spreadNow();
+}
+
 function recordAnswer(
   parts: ForwarderParts,
   flight: Flight,
--- a/packages/entry/src/relay_response.ts
+++ b/packages/entry/src/relay_response.ts
@@ -9,7 +9,7 @@
 /** How the relay ended. */
 export interface RelayEnd {
   /** `whole`: the caller was sent everything; `cut`: the target stopped early; `caller-gone`: the caller did. */
-  readonly kind: 'whole' | 'cut' | 'caller-gone';
+  readonly kind: 'whole' | 'cut' | 'deadline' | 'caller-gone';
   /** First part of the body, up to the asked size; undefined when the body was larger or not whole. */
   readonly keptBody: Buffer | undefined;
   readonly bodyBytes: number;
@@ -42,7 +42,7 @@
       resume(Effect.succeed({kind, keptBody, bodyBytes: kept.bytesSeen}));
     };
     const timer = setTimeout(() => {
-      end('cut');
+      end('deadline');
       from.destroy();
       to.destroy();
     }, options.remainingMs);
--- a/packages/entry/src/send_to_target.ts
+++ b/packages/entry/src/send_to_target.ts
@@ -35,6 +35,8 @@
   readonly connections: TargetConnections;
   /** Time left, in milliseconds. */
   readonly remainingMs: number;
+  /** Opens a connection for this attempt instead of taking a pooled one. */
+  readonly freshConnection: boolean;
   /** How long to wait for a late response after the deadline, in milliseconds; 0 cancels at the deadline. */
   readonly lateWaitMs: number;
 }
@@ -82,7 +84,7 @@
       method: call.method,
       path: call.targetPath,
       headers: headersForTarget(attempt),
-      agent: call.idempotent ? attempt.connections.pooled(target) : false,
+      agent: attempt.freshConnection ? false : attempt.connections.pooled(target),
     });
     const end = (result: AttemptEnd) => {
       clearTimeout(timer);
--- a/packages/entry/src/try_targets.ts
+++ b/packages/entry/src/try_targets.ts
@@ -100,10 +100,34 @@
   }).pipe(Effect.interruptible);
 }
 
+/**
+ * Sends the request to one target. A pooled connection that is lost may have been closed by the target while it was idle, so
+ * an idempotent request is sent once more to the same target over a new connection; when that cannot be opened, the
+ * target stopped answering while it had the request.
+ */
 function attemptTarget(
   parts: ForwarderParts,
   flight: Flight,
   assignment: Assignment,
+): Effect.Effect<AttemptEnd> {
+  return Effect.gen(function* () {
+    const end = yield* sendOnce(parts, flight, assignment, !flight.call.idempotent);
+    const poolMayBeStale = end.kind === 'connection-lost' && end.reusedConnection;
+    if (!poolMayBeStale || !flight.body.canSend) return end;
+    const second = yield* sendOnce(parts, flight, assignment, true);
+    return second.kind === 'connect-failed' ? connectionLost : second;
+  }).pipe(
+    Effect.onInterrupt(() => Effect.sync(() => parts.steering.release(assignment, 'cancelled', 0))),
+  );
+}
+
+const connectionLost: AttemptEnd = {kind: 'connection-lost', reusedConnection: false};
+
+function sendOnce(
+  parts: ForwarderParts,
+  flight: Flight,
+  assignment: Assignment,
+  freshConnection: boolean,
 ): Effect.Effect<AttemptEnd> {
   const {call, body, request} = flight;
   const remainingMs = call.deadlineMs - parts.time.monotonicMs();
@@ -115,10 +139,9 @@
     headers: endToEndHeaders(request.headers),
     connections: parts.connections,
     remainingMs,
+    freshConnection,
     lateWaitMs: call.idempotent ? 0 : parts.lateWaitMs,
-  }).pipe(
-    Effect.onInterrupt(() => Effect.sync(() => parts.steering.release(assignment, 'cancelled', 0))),
-  );
+  });
 }
 
 /** Gives the slot back, at once or, when a late response is awaited, with it. */
@@ -192,8 +215,7 @@
   assignment: Assignment,
   end: AttemptEnd,
 ): void {
-  // A target may close an idle connection at any time; that says nothing of the request.
-  if (end.kind !== 'connection-lost' || end.reusedConnection) return;
+  if (end.kind !== 'connection-lost') return;
   parts.poison.recordLostTarget(flight.fingerprint, assignment.target.id);
   parts.spreadNow();
 }
--- a/packages/steering/src/poison_guard.ts
+++ b/packages/steering/src/poison_guard.ts
@@ -2,6 +2,10 @@
  * Keeps a request that takes targets down from reaching more of them. A fingerprint that lost two distinct
  * targets is refused for ten minutes. Instances exchange suspicions; merging them in any order and any number
  * of times gives the same result, as long as the bound on their number is not reached.
+ *
+ * A request that was answered lately does not take down every target that runs it, so it is never refused. Without
+ * this, the loss of a failure domain would quarantine the most frequent requests, because they are in flight
+ * at several targets at that moment.
  */
 import type {PoisonSuspicion} from '@cuminsill/types';
 import type {TimeSource} from '@cuminsill/utils';
@@ -16,23 +20,39 @@
 /** Fingerprints remembered at most; the oldest suspicion is dropped first. */
 export const maxFingerprints = 1_000;
 
+/** Answered requests remembered at most; the one answered longest ago is dropped first. */
+export const maxAnsweredFingerprints = 10_000;
+
 /** Two targets decide; a few more are kept for operators, and the bound keeps messages small. */
 const maxTargetsPerSuspicion = 8;
 
 /** The suspicions of one instance. */
 export class PoisonGuard implements PoisonDecisions {
   private readonly byFingerprint = new Map<string, PoisonSuspicion>();
+  private readonly answeredAtMs = new Map<string, number>();
 
   /** @param time Wall-clock times are compared between instances. */
   constructor(private readonly time: TimeSource) {}
 
   /** True when the request must not be sent. */
   isQuarantined(fingerprint: string): boolean {
+    if (this.wasAnswered(fingerprint)) return false;
     const suspicion = this.byFingerprint.get(fingerprint);
     if (suspicion === undefined || suspicion.untilMs <= this.time.nowMs()) return false;
     return suspicion.targetIds.length >= targetsUntilQuarantine;
   }
 
+  /** Notes that a target answered the request; suspicions of it are dropped and ignored for ten minutes. */
+  recordAnswered(fingerprint: string): void {
+    // Deleting first moves the fingerprint to the end, so that the map is ordered by the last answer.
+    this.answeredAtMs.delete(fingerprint);
+    this.answeredAtMs.set(fingerprint, this.time.nowMs());
+    this.byFingerprint.delete(fingerprint);
+    if (this.answeredAtMs.size <= maxAnsweredFingerprints) return;
+    const [oldest] = this.answeredAtMs.keys();
+    if (oldest !== undefined) this.answeredAtMs.delete(oldest);
+  }
+
   /** Notes that a target stopped answering while it ran the request; returns the suspicion to spread. */
   recordLostTarget(fingerprint: string, targetId: string): PoisonSuspicion {
     const untilMs = this.time.nowMs() + suspicionMs;
@@ -46,6 +66,7 @@
     const nowMs = this.time.nowMs();
     for (const suspicion of suspicions) {
       if (suspicion.untilMs <= nowMs || suspicion.targetIds.length === 0) continue;
+      if (this.wasAnswered(suspicion.fingerprint)) continue;
       // A peer whose clock is ahead must not extend a quarantine beyond ten minutes from now.
       const untilMs = Math.min(suspicion.untilMs, nowMs + suspicionMs);
       this.mergeOne({...suspicion, untilMs});
@@ -61,6 +82,11 @@
     );
   }
 
+  private wasAnswered(fingerprint: string): boolean {
+    const atMs = this.answeredAtMs.get(fingerprint);
+    return atMs !== undefined && this.time.nowMs() - atMs < suspicionMs;
+  }
+
   private mergeOne(added: PoisonSuspicion): PoisonSuspicion {
     const {fingerprint} = added;
     const known = this.byFingerprint.get(fingerprint);
--- a/packages/steering/src/steering_types.ts
+++ b/packages/steering/src/steering_types.ts
@@ -120,6 +120,8 @@
 /** Decides which requests are refused because they took targets down. */
 export interface PoisonDecisions {
   isQuarantined(fingerprint: string): boolean;
+  /** Notes that a target answered the request, so it does not take down every target that runs it. */
+  recordAnswered(fingerprint: string): void;
   /** Notes that a target stopped answering while it ran the request; returns the suspicion to spread. */
   recordLostTarget(fingerprint: string, targetId: string): PoisonSuspicion;
   mergeSuspicions(suspicions: readonly PoisonSuspicion[]): void;
