Warm up pooled connections in the poison test and offer load to a leaving target

Both tests passed without the mechanism before: the poison requests used new connections, and the leaving target was never the only free one.

--- a/packages/entry/__fixtures__/scripted_target.ts
+++ b/packages/entry/__fixtures__/scripted_target.ts
@@ -3,7 +3,11 @@
 import type {AddressInfo, Socket} from 'node:net';
 
 /** Answers one request. */
-export type Script = (request: http.IncomingMessage, response: http.ServerResponse) => void;
+export type Script = (
+  request: http.IncomingMessage,
+  response: http.ServerResponse,
+  target: ScriptedTarget,
+) => void;
 
 /** A target on a port of its own. */
 export class ScriptedTarget {
@@ -17,7 +21,7 @@
     this.server = http.createServer((request, response) => {
       this.arrived.push(request.url ?? '');
       response.on('error', () => undefined);
-      this.script(request, response);
+      this.script(request, response, this);
       for (const wake of [...this.waiters]) wake();
     });
     this.server.on('connection', socket => {
@@ -66,7 +70,7 @@
 }
 
 /** Answers 200 with the request's path as its body. */
-export const echoPath: Script = (request, response) => {
+export const echoPath = (request: http.IncomingMessage, response: http.ServerResponse): void => {
   request.resume();
   request.on('end', () => response.end(request.url));
 };
--- a/packages/entry/__tests__/outcomes.test.ts
+++ b/packages/entry/__tests__/outcomes.test.ts
@@ -150,11 +150,13 @@
 
 describe('a request that crashes each target that runs it', () => {
   it('takes down at most two targets and is then refused', async () => {
-    const crashOnPoison: Script = (request, response) => {
+    const crashOnPoison: Script = (request, response, target) => {
       if (request.url !== '/poison') echoPath(request, response);
-      else entry.targets.find(target => target.arrived.at(-1) === '/poison')?.crash();
+      else target.crash();
     };
     await startEntry([crashOnPoison, crashOnPoison, crashOnPoison, crashOnPoison]);
+    // Opens pooled connections: a loss on one of them must count too.
+    await Promise.all(Array.from({length: 12}, (_, index) => entry.send(`/svc/reads/${index}`)));
     const codes: unknown[] = [];
     for (let attempt = 0; attempt < 4; attempt += 1) {
       codes.push((await entry.send('/svc/reads/poison')).headers['x-result-code']);
@@ -185,9 +187,13 @@
       echoPath(request, response);
     };
     await startEntry([leaving, echoPath]);
-    for (let count = 0; count < 20; count += 1) await entry.send('/svc/reads/a');
-    expect(entry.targets[0]?.arrived.length).toBeLessThanOrEqual(1);
-    expect(entry.arrivals()).toBe(20);
+    const sendAtOnce = () => Promise.all(Array.from({length: 6}, () => entry.send('/svc/reads/a')));
+    await sendAtOnce();
+    const before = entry.targets[0]?.arrived.length;
+    expect(before).toBeGreaterThan(0);
+    await sendAtOnce();
+    expect(entry.targets[0]?.arrived.length).toBe(before);
+    expect(entry.arrivals()).toBe(12);
   });
 });
 
