Measure hedging with slots divided among entries

One pool of 36 slots is kinder to hedges than ten entries of three or four slots. The model now takes a number of entries, each with its own queue and budget and without borrowing; with one entry it is the model as before.

Ruled out: conclusions from ten entries at 90% and 95%. Entries with three slots get more than they can serve there, so no steady state exists.

--- a/packages/planner/__tests__/measure_models.test.ts
+++ b/packages/planner/__tests__/measure_models.test.ts
@@ -71,6 +71,7 @@
   const settings = {
     targets: 12,
     slotsPerTarget: 3,
+    entries: 1,
     load: 0.5,
     requests: 20_000,
     slowCause: 'target' as const,
--- a/packages/planner/src/measure/hedging_model.ts
+++ b/packages/planner/src/measure/hedging_model.ts
@@ -1,5 +1,5 @@
 /**
- * Model of one service in virtual time: reads arrive at random, wait for a free slot in one queue and run for a
+ * Model of one service in virtual time: reads arrive at random, wait for a free slot of their entry and run for a
  * time with a long tail. A slow read may be sent a second time to another target with a free slot.
  */
 import {HedgeBudget} from '@cuminsill/steering';
@@ -14,6 +14,8 @@
 export interface HedgingCase {
   readonly targets: number;
   readonly slotsPerTarget: number;
+  /** Entries that divide the slots evenly, each with its own queue and budget; none borrows. */
+  readonly entries: number;
   /** Busy share of the slots without hedging, from 0 to 1. */
   readonly load: number;
   readonly requests: number;
@@ -42,7 +44,16 @@
   medianServiceMs * Math.exp((sigma * sigma) / 2) * (1 + slowShare * (slowFactor - 1));
 const serviceId = 'reads';
 
+interface Entry {
+  readonly budget: HedgeBudget;
+  /** Free slots that the entry holds, by target. */
+  readonly freeSlots: number[];
+  readonly waiting: Read[];
+  firstWaiting: number;
+}
+
 interface Read {
+  readonly entry: Entry;
   readonly arrivedAtMs: number;
   /** Factor that all copies share when the request itself is the cause. */
   readonly requestFactor: number;
@@ -63,14 +74,11 @@
 
 class HedgingModel {
   private readonly events = new EventQueue();
-  private readonly budget = new HedgeBudget();
   /** Separate sources, so that arrivals are the same with and without hedging. */
   private readonly arrivals: RandomSource;
   private readonly services: RandomSource;
   private readonly choices: RandomSource;
-  private readonly freeSlots: number[];
-  private readonly waiting: Read[] = [];
-  private firstWaiting = 0;
+  private readonly entries: readonly Entry[];
   private readonly durationsMs: number[] = [];
   private busySlotMs = 0;
   private hedges = 0;
@@ -80,7 +88,16 @@
     this.arrivals = seededRandom(settings.seed);
     this.services = seededRandom(settings.seed + 1_000);
     this.choices = seededRandom(settings.seed + 2_000);
-    this.freeSlots = Array<number>(settings.targets).fill(settings.slotsPerTarget);
+    this.entries = Array.from({length: settings.entries}, () => ({
+      budget: new HedgeBudget(),
+      freeSlots: Array<number>(settings.targets).fill(0),
+      waiting: [],
+      firstWaiting: 0,
+    }));
+    for (let slot = 0; slot < settings.targets * settings.slotsPerTarget; slot += 1) {
+      const entry = this.entries[slot % settings.entries];
+      changeFree(entry, slot % settings.targets, 1);
+    }
   }
 
   run(): HedgingResult {
@@ -103,9 +120,12 @@
     this.arrived += 1;
     const meanGapMs = meanServiceMs / (load * targets * slotsPerTarget);
     const gapMs = -Math.log(1 - this.arrivals.next()) * meanGapMs;
+    const entry = this.entries[randomBelow(this.arrivals, this.entries.length)];
     const requestFactor = this.arrivals.next() < slowShare ? slowFactor : 1;
     this.events.after(gapMs, () => {
+      if (entry === undefined) return;
       this.accept({
+        entry,
         arrivedAtMs: this.events.nowMs,
         requestFactor,
         copies: [],
@@ -116,15 +136,15 @@
   }
 
   private accept(read: Read): void {
-    this.budget.recordRead(serviceId);
-    const target = this.chooseTarget(-1);
-    if (target < 0) this.waiting.push(read);
+    read.entry.budget.recordRead(serviceId);
+    const target = this.chooseTarget(read.entry, -1);
+    if (target < 0) read.entry.waiting.push(read);
     else this.startFirst(read, target);
   }
 
   private startFirst(read: Read, target: number): void {
     const copy = this.start(read, target);
-    const delayMs = this.budget.hedgeDelayMs(serviceId);
+    const delayMs = read.entry.budget.hedgeDelayMs(serviceId);
     if (!this.settings.hedging || delayMs === undefined) return;
     this.events.after(delayMs, () => {
       if (!copy.ended) this.hedge(read, target);
@@ -133,15 +153,15 @@
 
   /** A free slot means that no read waits, so a hedge never delays a first copy that is here already. */
   private hedge(read: Read, usedTarget: number): void {
-    const target = this.chooseTarget(usedTarget);
-    if (target < 0 || !this.budget.tryHedge(serviceId)) return;
+    const target = this.chooseTarget(read.entry, usedTarget);
+    if (target < 0 || !read.entry.budget.tryHedge(serviceId)) return;
     this.hedges += 1;
     this.start(read, target);
   }
 
   private start(read: Read, target: number): Copy {
     const copy: Copy = {target, startedAtMs: this.events.nowMs, ended: false};
-    this.freeSlots[target] = (this.freeSlots[target] ?? 0) - 1;
+    changeFree(read.entry, target, -1);
     read.copies.push(copy);
     this.events.after(this.serviceMs(read), () => this.finish(read, copy));
     return copy;
@@ -154,27 +174,27 @@
       const first = read.copies[0] ?? copy;
       this.durationsMs.push(this.events.nowMs - read.arrivedAtMs);
       // The time of a cancelled first copy is a lower bound; it is above the 95th percentile all the same.
-      this.budget.recordDuration(serviceId, this.events.nowMs - first.startedAtMs);
-      if (this.settings.cancels) read.copies.forEach(other => this.end(other));
+      read.entry.budget.recordDuration(serviceId, this.events.nowMs - first.startedAtMs);
+      if (this.settings.cancels) read.copies.forEach(other => this.end(read, other));
     }
-    this.end(copy);
+    this.end(read, copy);
   }
 
-  private end(copy: Copy): void {
+  private end({entry}: Read, copy: Copy): void {
     if (copy.ended) return;
     copy.ended = true;
     this.busySlotMs += this.events.nowMs - copy.startedAtMs;
-    this.freeSlots[copy.target] = (this.freeSlots[copy.target] ?? 0) + 1;
-    const next = this.waiting[this.firstWaiting];
+    changeFree(entry, copy.target, 1);
+    const next = entry.waiting[entry.firstWaiting];
     if (next === undefined) return;
-    this.firstWaiting += 1;
+    entry.firstWaiting += 1;
     this.startFirst(next, copy.target);
   }
 
   /** A random target with a free slot, other than the excluded one; -1 when there is none. */
-  private chooseTarget(excluded: number): number {
-    const usable = [...this.freeSlots.keys()].filter(
-      target => target !== excluded && (this.freeSlots[target] ?? 0) > 0,
+  private chooseTarget({freeSlots}: Entry, excluded: number): number {
+    const usable = [...freeSlots.keys()].filter(
+      target => target !== excluded && (freeSlots[target] ?? 0) > 0,
     );
     return usable[randomBelow(this.choices, usable.length)] ?? -1;
   }
@@ -188,3 +208,7 @@
     return medianServiceMs * Math.exp(sigma * normal) * factor;
   }
 }
+
+function changeFree(entry: Entry | undefined, target: number, change: number): void {
+  if (entry !== undefined) entry.freeSlots[target] = (entry.freeSlots[target] ?? 0) + change;
+}
--- a/packages/planner/src/measure/measure_hedging.ts
+++ b/packages/planner/src/measure/measure_hedging.ts
@@ -5,10 +5,13 @@
 const seeds = [1, 2, 3, 4, 5];
 const requests = 200_000;
 const loads = [0.5, 0.7, 0.9, 0.95];
-const variants: ReadonlyArray<Pick<HedgingCase, 'slowCause' | 'cancels'>> = [
-  {slowCause: 'target', cancels: true},
-  {slowCause: 'target', cancels: false},
-  {slowCause: 'request', cancels: true},
+const variants: ReadonlyArray<Pick<HedgingCase, 'slowCause' | 'cancels' | 'entries'>> = [
+  {slowCause: 'target', cancels: true, entries: 1},
+  {slowCause: 'target', cancels: false, entries: 1},
+  {slowCause: 'request', cancels: true, entries: 1},
+  {slowCause: 'target', cancels: true, entries: 10},
+  {slowCause: 'target', cancels: false, entries: 10},
+  {slowCause: 'request', cancels: true, entries: 10},
 ];
 
 function median(results: readonly HedgingResult[], field: keyof HedgingResult): number {
