--- a/packages/entry/__tests__/outcomes.test.ts
+++ b/packages/entry/__tests__/outcomes.test.ts
@@ -180,6 +180,23 @@
   });
 });
 
+describe('a target that closes idle connections', () => {
+  // Guards against a request that is refused, or suspected, because a pooled connection was stale.
+  it('answers the request over a new connection', async () => {
+    const used = new WeakSet<object>();
+    await startEntry([
+      (request, response) => {
+        if (used.has(request.socket)) request.socket.destroy();
+        else echoPath(request, response);
+        used.add(request.socket);
+      },
+    ]);
+    for (let count = 0; count < 6; count += 1) {
+      expect((await entry.send('/svc/reads/a')).status).toBe(200);
+    }
+  });
+});
+
 describe('a target that is leaving', () => {
   it('gets no new work after it said so in a response', async () => {
     const leaving: Script = (request, response) => {
