Hedge slow reads, and tell the next hop the time that remains for it

Cause: the setting for hedging did nothing, and targets were told the whole remaining time, so they worked on answers that could not arrive in time. Ruled out: hedging by default; the measurement in docs/decisions/hedging.md is of a model, not of the daemons.

--- a/packages/entry/__fixtures__/entry_fixture.ts
+++ b/packages/entry/__fixtures__/entry_fixture.ts
@@ -2,7 +2,13 @@
 import * as http from 'node:http';
 import type {ClaimDecision, ClaimOutcome, SendRequest} from '@cuminsill/claims';
 import {silentMetrics} from '@cuminsill/logger';
-import {PoisonGuard, RetryBudget, Steering} from '@cuminsill/steering';
+import {
+  defaultHedgeBudgetOptions,
+  HedgeBudget,
+  PoisonGuard,
+  RetryBudget,
+  Steering,
+} from '@cuminsill/steering';
 import type {Configuration, InstanceState, Member, Target} from '@cuminsill/types';
 import {emptyConfiguration} from '@cuminsill/types';
 import {systemTime} from '@cuminsill/utils';
@@ -67,7 +73,7 @@
   private readonly connections = new TargetConnections();
   private readonly agent = new http.Agent({keepAlive: true});
   private readonly scope = Effect.runSync(Scope.make());
-  private readonly view = new EntryView(5);
+  private readonly view = new EntryView('region-1', 5);
   private readonly ticking: NodeJS.Timeout;
 
   constructor(scripts: readonly Script[], settings: Partial<EntrySettings> = {}) {
@@ -90,6 +96,13 @@
       steering: this.steering,
       poison: new PoisonGuard(systemTime),
       retryBudget: new RetryBudget(),
+      hedgeBudget: new HedgeBudget({
+        ...defaultHedgeBudgetOptions,
+        minSamples: 10,
+        readsPerHedge: 1,
+      }),
+      hedging: checked.hedging,
+      latencyToMs: () => 0,
       claims: this.claims,
       background,
       connections: this.connections,
--- a/packages/entry/__tests__/outcomes.test.ts
+++ b/packages/entry/__tests__/outcomes.test.ts
@@ -180,6 +180,29 @@
   });
 });
 
+describe('a slow read', () => {
+  // Guards against a slow target that decides the latency of reads, and against slots that hedges keep.
+  it('is answered by a second target, and both slots are free afterwards', async () => {
+    entry = new EntryFixture([echoPath, echoPath], {hedging: true});
+    await entry.start();
+    for (let count = 0; count < 20; count += 1) await entry.send('/svc/reads/a');
+    const hang: Script = request => void request.resume();
+    const [slow, fast] = entry.targets;
+    const before = entry.arrivals();
+    slow?.use((request, response, target) => {
+      hang(request, response, target);
+      fast?.use(echoPath);
+    });
+    fast?.use((request, response, target) => {
+      hang(request, response, target);
+      slow?.use(echoPath);
+    });
+    expect((await entry.send('/svc/reads/hedged')).body).toBe('/hedged');
+    expect(entry.arrivals()).toBe(before + 2);
+    expect(entry.steering.loads().every(load => load.inFlight === 0)).toBe(true);
+  });
+});
+
 describe('a target that closes idle connections', () => {
   // Guards against a request that is refused, or suspected, because a pooled connection was stale.
   it('answers the request over a new connection', async () => {
--- a/packages/entry/src/call.ts
+++ b/packages/entry/src/call.ts
@@ -3,6 +3,7 @@
  * wrong with the head is found here, before anything is sent.
  */
 import type {IncomingMessage} from 'node:http';
+import {parseTimeoutMs, timeoutHeader} from '@cuminsill/steering';
 import type {Configuration, ServiceContract} from '@cuminsill/types';
 import {ResultError, resultCodes} from '@cuminsill/types';
 
@@ -66,7 +67,7 @@
     callerRegionId: context.callerRegionId,
     callerAddress: request.socket.remoteAddress ?? '',
     tenant,
-    deadlineMs: context.nowMs + parseTimeoutMs(request, contract, context.maxTimeoutMs),
+    deadlineMs: context.nowMs + timeoutOf(request, contract, context.maxTimeoutMs),
     idempotent,
     idempotencyKey,
     configVersion: context.configuration.version,
@@ -101,18 +102,14 @@
   return `${serviceId}/${tenant}/${idempotencyKey}`;
 }
 
-function parseTimeoutMs(
+function timeoutOf(
   request: IncomingMessage,
   contract: ServiceContract,
   maxTimeoutMs: number,
 ): number {
-  const header = request.headers['x-request-timeout-ms'];
-  if (header === undefined) return contract.defaultTimeoutMs;
-  const timeoutMs = Number(header);
-  if (!Number.isInteger(timeoutMs) || timeoutMs < 1) {
-    throw malformed('x-request-timeout-ms must be a whole number of at least 1');
-  }
-  return Math.min(timeoutMs, maxTimeoutMs);
+  const parsed = parseTimeoutMs(request.headers[timeoutHeader], contract.defaultTimeoutMs);
+  if (parsed instanceof ResultError) throw parsed;
+  return Math.min(parsed, maxTimeoutMs);
 }
 
 function malformed(detail: string): ResultError {
--- a/packages/entry/src/entry_parts.ts
+++ b/packages/entry/src/entry_parts.ts
@@ -3,7 +3,7 @@
 import type {Logger, Metrics} from '@cuminsill/logger';
 import type {PeerServer} from '@cuminsill/protocol';
 import {PeerClients, SlotService, startPeerServer} from '@cuminsill/protocol';
-import {PoisonGuard, RetryBudget, Steering} from '@cuminsill/steering';
+import {HedgeBudget, PoisonGuard, RetryBudget, Steering} from '@cuminsill/steering';
 import type {InstanceState} from '@cuminsill/types';
 import {ownerByRendezvous, seededRandom, systemTime} from '@cuminsill/utils';
 import type {EntrySettings} from '@cuminsill/validation';
@@ -91,7 +91,7 @@
       ...options,
       clients,
       lifecycle: {state: 'serving' as const},
-      view: new EntryView(settings.lookupTtlS),
+      view: new EntryView(settings.instance.regionId, settings.lookupTtlS),
       steering: new Steering(steeringOptions(settings), time),
       poison: new PoisonGuard(time),
       refusals: new Refusals(peerKey),
@@ -157,6 +157,9 @@
         new Forwarder({
           ...basis,
           retryBudget: new RetryBudget(),
+          hedgeBudget: new HedgeBudget(),
+          hedging: basis.settings.hedging,
+          latencyToMs: regionId => basis.view.latencyToMs(regionId),
           claims,
           background,
           connections,
--- a/packages/entry/src/entry_view.ts
+++ b/packages/entry/src/entry_view.ts
@@ -5,7 +5,7 @@
 import type {Configuration, Member, ServiceContract} from '@cuminsill/types';
 import {emptyConfiguration} from '@cuminsill/types';
 import {ClientBlockTable} from './client_block_table';
-import {LookupAnswers} from './lookup_answers';
+import {latencyMs, LookupAnswers} from './lookup_answers';
 
 /** The view of one entry process. */
 export class EntryView {
@@ -14,13 +14,17 @@
   contracts: ReadonlyMap<string, ServiceContract> = new Map();
   clientBlocks = new ClientBlockTable([]);
   controlConnected = false;
+  private latencies: ReadonlyMap<string, number> = new Map();
   /** Number of claim shards, as the control process states it. */
   claimShards = 16;
   readonly lookupAnswers: LookupAnswers;
   /** Value of the `cache-control` header of look-up answers. */
   readonly cacheControl: string;
 
-  constructor(lookupTtlS: number) {
+  constructor(
+    private readonly ownRegionId: string,
+    lookupTtlS: number,
+  ) {
     this.lookupAnswers = new LookupAnswers(lookupTtlS);
     this.cacheControl = `max-age=${lookupTtlS}`;
   }
@@ -31,6 +35,7 @@
     const sameBlocks =
       configuration.catalog.clientBlocks === this.configuration.catalog.clientBlocks;
     this.configuration = configuration;
+    this.latencies = latenciesFrom(configuration, this.ownRegionId);
     this.contracts = new Map(
       configuration.catalog.services.map(service => [service.id, service] as const),
     );
@@ -39,6 +44,11 @@
     return true;
   }
 
+  /** One-way latency to a region in milliseconds; 0 when no link is known, so that nothing is refused for it. */
+  latencyToMs(regionId: string): number {
+    return this.latencies.get(regionId) ?? 0;
+  }
+
   /** Adopts a list of members. */
   adoptMembers(members: readonly Member[]): void {
     this.members = members;
@@ -50,3 +60,14 @@
     return this.members.find(member => member.instance.id === instanceId);
   }
 }
+
+function latenciesFrom(
+  configuration: Configuration,
+  ownRegionId: string,
+): ReadonlyMap<string, number> {
+  const {regions, links} = configuration.catalog;
+  const known = regions
+    .map(region => [region.id, latencyMs(links, ownRegionId, region.id)] as const)
+    .filter(([, latency]) => Number.isFinite(latency));
+  return new Map(known);
+}
--- a/packages/entry/src/forwarder_parts.ts
+++ b/packages/entry/src/forwarder_parts.ts
@@ -2,7 +2,12 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {ClaimSession} from '@cuminsill/claims';
 import type {Metrics} from '@cuminsill/logger';
-import type {PoisonDecisions, RetryBudget, SteeringDecisions} from '@cuminsill/steering';
+import type {
+  HedgeBudget,
+  PoisonDecisions,
+  RetryBudget,
+  SteeringDecisions,
+} from '@cuminsill/steering';
 import type {TimeSource} from '@cuminsill/utils';
 import type {FiberSet} from 'effect';
 import type {Call} from './call';
@@ -14,6 +19,11 @@
   readonly steering: SteeringDecisions;
   readonly poison: PoisonDecisions;
   readonly retryBudget: RetryBudget;
+  readonly hedgeBudget: HedgeBudget;
+  /** Whether slow reads are sent to a second target. */
+  readonly hedging: boolean;
+  /** One-way latency from this instance to a region, in milliseconds. */
+  readonly latencyToMs: (regionId: string) => number;
   readonly claims: Pick<ClaimSession, 'claim' | 'complete'>;
   /** Runs reports that the caller does not wait for; a stop waits for them. */
   readonly background: FiberSet.FiberSet;
--- a/packages/entry/src/send_to_target.ts
+++ b/packages/entry/src/send_to_target.ts
@@ -35,6 +35,8 @@
   readonly connections: TargetConnections;
   /** Time left, in milliseconds. */
   readonly remainingMs: number;
+  /** Time that the target is told, in milliseconds; less than `remainingMs` by the way there and back. */
+  readonly nextHopTimeoutMs: number;
   /** Opens a connection for this attempt instead of taking a pooled one. */
   readonly freshConnection: boolean;
   /** How long to wait for a late response after the deadline, in milliseconds; 0 cancels at the deadline. */
@@ -141,7 +143,7 @@
     ...attempt.headers,
     host: `${attempt.target.address.host}:${attempt.target.address.port}`,
     'x-request-id': call.requestId,
-    'x-request-timeout-ms': String(Math.max(1, Math.floor(attempt.remainingMs))),
+    'x-request-timeout-ms': String(attempt.nextHopTimeoutMs),
     'x-forwarded-for': call.callerAddress,
   };
   if (body.isWhole && body.kept.length > 0) headers['content-length'] = body.kept.length;
--- a/packages/entry/src/serve_idempotent.ts
+++ b/packages/entry/src/serve_idempotent.ts
@@ -3,6 +3,7 @@
 import {Effect} from 'effect';
 import {finishAnswer} from './finish_answer';
 import type {Flight, ForwarderParts} from './forwarder_parts';
+import {hedgedAnswer} from './hedged_answer';
 import {tryTargets} from './try_targets';
 
 /** Tries targets within the retry budget and relays the first response. */
@@ -11,9 +12,9 @@
   flight: Flight,
 ): Effect.Effect<void, ResultError> {
   return Effect.gen(function* () {
-    const answered = yield* tryTargets(parts, flight).pipe(
-      Effect.mapError(failed => failed.refusal),
-    );
+    const isRead = flight.call.method === 'GET' || flight.call.method === 'HEAD';
+    const answer = parts.hedging && isRead ? hedgedAnswer : tryTargets;
+    const answered = yield* answer(parts, flight).pipe(Effect.mapError(failed => failed.refusal));
     yield* finishAnswer(parts, flight, answered, 0);
   });
 }
--- a/packages/entry/src/try_targets.ts
+++ b/packages/entry/src/try_targets.ts
@@ -4,6 +4,7 @@
  */
 import type {IncomingMessage} from 'node:http';
 import type {Assignment, AttemptResult} from '@cuminsill/steering';
+import {remainingForNextHopMs} from '@cuminsill/steering';
 import {ResultError, resultCodes} from '@cuminsill/types';
 import {Effect} from 'effect';
 import type {Call} from './call';
@@ -38,15 +39,28 @@
 
 const leavingHeader = 'x-target-state';
 
+/** How to choose among the targets. */
+export interface TryOptions {
+  /** Targets that are not asked. */
+  readonly excludedTargetIds: readonly string[];
+  /** Called with each target before it is asked. */
+  readonly onAssigned: (targetId: string) => void;
+}
+
+const anyTarget: TryOptions = {excludedTargetIds: [], onAssigned: () => undefined};
+
 /** Tries targets until one responds. */
 export function tryTargets(
   parts: ForwarderParts,
   flight: Flight,
+  options = anyTarget,
 ): Effect.Effect<Answered, AttemptsFailed> {
   return Effect.gen(function* () {
-    let progress: Progress = {excludedTargetIds: [], attempts: 0, lostConnections: 0};
+    const {excludedTargetIds} = options;
+    let progress: Progress = {excludedTargetIds, attempts: 0, lostConnections: 0};
     for (;;) {
       const assignment = yield* assignTarget(parts, flight.call, progress);
+      options.onAssigned(assignment.target.id);
       const startedAtMs = parts.time.monotonicMs();
       const end = yield* attemptTarget(parts, flight, assignment);
       const result = classifyAttempt(end, flight.call);
@@ -130,15 +144,18 @@
   freshConnection: boolean,
 ): Effect.Effect<AttemptEnd> {
   const {call, body, request} = flight;
-  const remainingMs = call.deadlineMs - parts.time.monotonicMs();
-  if (remainingMs <= 0) return Effect.succeed({kind: 'timed-out-unsent'});
+  const nowMs = parts.time.monotonicMs();
+  const latencyMs = parts.latencyToMs(assignment.target.regionId);
+  const nextHopTimeoutMs = remainingForNextHopMs(call.deadlineMs, nowMs, latencyMs);
+  if (nextHopTimeoutMs === 0) return Effect.succeed({kind: 'timed-out-unsent'});
   return sendToTarget({
     call,
     body,
     target: assignment.target,
     headers: endToEndHeaders(request.headers),
     connections: parts.connections,
-    remainingMs,
+    remainingMs: call.deadlineMs - nowMs,
+    nextHopTimeoutMs,
     freshConnection,
     lateWaitMs: call.idempotent ? 0 : parts.lateWaitMs,
   });
