--- a/packages/claims/__tests__/claim_shard.test.ts
+++ b/packages/claims/__tests__/claim_shard.test.ts
@@ -103,6 +103,18 @@
     expect(harness.time.run(owner.claim(harness.request('k', 'entry#2'))).state).toBe('granted');
   });
 
+  // Guards against a duplicated message that takes the key after its attempt was answered and has ended.
+  it('does not grant a duplicate of a claim that was answered "in-progress"', () => {
+    const owner = harness.authority('a');
+    const first = harness.request('k');
+    const second = harness.request('k', 'entry#2');
+    harness.time.run(owner.claim(first));
+    expect(harness.time.run(owner.claim(second)).state).toBe('in-progress');
+    harness.time.run(owner.complete('k', claimIdOf(first), {outcome: 'not-run'}));
+    expect(harness.time.run(owner.claim(second)).state).toBe('unavailable');
+    expect(harness.time.run(owner.claim(harness.request('k', 'entry#3'))).state).toBe('granted');
+  });
+
   // Guards against a write per request, and against a wait when the shard is idle.
   it('carries all waiting claims in one append and is limited to 10 appends a second', () => {
     const owner = harness.authority('a');
--- a/packages/claims/src/claim_shard.ts
+++ b/packages/claims/src/claim_shard.ts
@@ -61,6 +61,9 @@
 // Bounds the memory that an outage of the store can take: 5,000 requests with kept answers are about 8 MB.
 const maxQueued = 5_000;
 
+// About 1 MB; two minutes of a shard at 80 claims a second.
+const maxAnsweredIds = 10_000;
+
 // An idle owner wakes this often, in milliseconds, for its checkpoint and its trimming.
 const idleWakeMs = 60_000;
 
@@ -75,6 +78,7 @@
   private queue: PendingRequest[] = [];
   private batch: readonly PendingRequest[] = [];
   private tenure: Tenure | undefined;
+  private readonly answeredIds = new Set<string>();
   private readonly appender: ShardAppender;
   private readonly counted = {takeovers: 0, stepDowns: 0, invalidRecords: 0};
 
@@ -108,11 +112,14 @@
   /** Claims a key; answers after the append is durable, or from what is known. */
   claim(request: ClaimRequest): Effect.Effect<ClaimAnswer> {
     return Effect.gen(this, function* () {
+      const claimId = claimIdOf(request);
       const early = this.pendingAnswer(request) ?? this.earlyAnswer(request);
-      if (early !== undefined) return early;
+      if (early !== undefined) return this.remember(claimId, early);
+      if (this.answeredIds.has(claimId)) return {state: 'unavailable'} as const;
       const reply = yield* Reply.make<ClaimAnswer>();
-      yield* this.enqueue({kind: 'claim', request, claimId: claimIdOf(request), reply});
-      return yield* reply.awaitOr({state: 'unavailable'}, this.replyWaitMs());
+      yield* this.enqueue({kind: 'claim', request, claimId, reply});
+      const answer = yield* reply.awaitOr({state: 'unavailable'}, this.replyWaitMs());
+      return this.remember(claimId, answer);
     });
   }
 
@@ -144,6 +151,20 @@
     });
   }
 
+  /**
+   * A duplicate of a claim message that was answered, for example with "in progress", must not be granted later:
+   * its sender has the first answer and would never report an outcome.
+   */
+  private remember(claimId: string, answer: ClaimAnswer): ClaimAnswer {
+    if (answer.state === 'not-owner') return answer;
+    this.answeredIds.add(claimId);
+    const oldest = this.answeredIds.values().next();
+    if (this.answeredIds.size > maxAnsweredIds && !oldest.done) {
+      this.answeredIds.delete(oldest.value);
+    }
+    return answer;
+  }
+
   private enqueue(pending: PendingRequest): Effect.Effect<void> {
     if (this.queue.length >= maxQueued) this.dropAnswered();
     if (this.queue.length >= maxQueued) return refuseAll([pending], 'unavailable');
