Hand slots over only after the former owner has the new view

Cause: endpoints had 133% of their slots in use while entries adopted a configuration 5 s apart. Ruled out: waiting for the version in the members' view, which gossip spreads later than the change itself. Change: a slot that another entry owned waits 6 s (1 s before); an entry without contact for 4 s keeps its slots.

--- a/packages/steering/src/pool_directory.ts
+++ b/packages/steering/src/pool_directory.ts
@@ -82,17 +82,18 @@
     return {removed, refused: removed.flatMap(queue => queue.waiting.removeAll())};
   }
 
-  /** Divides the slots again when the configuration or the slot holders have changed. */
-  updateDivision(members: readonly Member[]): void {
-    if (this.configuration === undefined || this.routes === undefined) return;
+  /** Divides the slots again when the configuration or the slot holders have changed; false when not. */
+  updateDivision(members: readonly Member[]): boolean {
+    if (this.configuration === undefined || this.routes === undefined) return false;
     const own = this.slots.update(this.configuration, this.routes, members);
-    if (own === undefined) return;
+    if (own === undefined) return false;
     const slotsOf = new Map<PoolQueue, (typeof own)[number]['slots']>();
     for (const {serviceId, regionId, slots} of own) {
       const queue = this.find(serviceId, regionId);
       if (queue !== undefined) slotsOf.set(queue, slots);
     }
     for (const queue of this.everyQueue) queue.pool.setOwnSlots(slotsOf.get(queue) ?? []);
+    return true;
   }
 
   private targetsByPool(configuration: Configuration): Map<string, Map<string, Target[]>> {
--- a/packages/steering/src/slot_pool.ts
+++ b/packages/steering/src/slot_pool.ts
@@ -13,8 +13,11 @@
 import type {Slot, TargetSettings} from './target_state';
 import {isBetterTarget, penaltyMs, TargetState} from './target_state';
 
-/** A slot that another entry owned before stays unused this long, until that entry has the new view too. */
-const handOverMs = 1000;
+/**
+ * A slot that another entry owned before stays unused this long: until that entry has the new view too, and its
+ * requests have ended. With 1 s, entries that adopted a change 5 s apart overfilled endpoints by a third.
+ */
+const handOverMs = 6000;
 /** Weight of a new latency in the pool's running mean. */
 const latencyWeight = 0.05;
 /** The reserve against batch is kept for this long after the last request of another class. */
--- a/packages/steering/src/steering.ts
+++ b/packages/steering/src/steering.ts
@@ -31,6 +31,12 @@
 } from './steering_types';
 import type {Slot} from './target_state';
 
+/**
+ * Without contact for this long, the entry keeps its slots as they are. An entry that is cut off sees all others
+ * as unreachable and would otherwise take their slots while they use them.
+ */
+const contactLostMs = 4000;
+
 interface UsedSlot {
   readonly slot: Slot;
   readonly queue: PoolQueue;
@@ -90,6 +96,7 @@
   updateContactAge(contactAgeMs: number): void {
     this.contactAgeMs = contactAgeMs;
     this.contactAgeAtMs = this.time.monotonicMs();
+    this.updateDivision();
   }
 
   markLeaving(targetId: string): void {
@@ -180,7 +187,7 @@
   }
 
   tick(): void {
-    const frozen = this.isFrozen();
+    const frozen = this.contactAge() >= this.options.freezeAfterMs;
     for (const byRegion of this.routes.values()) {
       for (const route of byRegion.values()) route.advance(frozen);
     }
@@ -195,15 +202,15 @@
   }
 
   /** Contact counts as lost when the control process itself stops telling about it. */
-  private isFrozen(): boolean {
-    if (this.contactAgeMs === undefined) return false;
-    const sinceMs = this.time.monotonicMs() - this.contactAgeAtMs;
-    return this.contactAgeMs + sinceMs >= this.options.freezeAfterMs;
+  private contactAge(): number {
+    if (this.contactAgeMs === undefined) return 0;
+    return this.contactAgeMs + this.time.monotonicMs() - this.contactAgeAtMs;
   }
 
   private updateDivision(): void {
     if (this.configuration === undefined || this.members.length === 0) return;
-    this.pools.updateDivision(this.members);
+    if (this.contactAge() >= contactLostMs) return;
+    if (!this.pools.updateDivision(this.members)) return;
     for (const queue of this.pools.all()) queue.serve();
   }
 
