Say unknown, not "not run", where an earlier attempt may have run

Cause: a retry of a non-idempotent request that was refused before its claim was read, for example during a store outage, was told "not run", although its earlier attempt may have run. Ruled out: asking callers to keep track themselves; answering unknown to every refusal, because a first attempt can be told the truth. Change: before the claim is granted, such a refusal carries 3006 and outcome unknown, unless the caller sends x-attempt: 1. After the claim was granted no earlier attempt ran, and the actual code is sent.

--- a/packages/entry/__tests__/outcomes.test.ts
+++ b/packages/entry/__tests__/outcomes.test.ts
@@ -1,3 +1,4 @@
+import type {ClaimDecision} from '@cuminsill/claims';
 import {EntryFixture} from '../__fixtures__/entry_fixture';
 import type {Script} from '../__fixtures__/scripted_target';
 import {echoPath} from '../__fixtures__/scripted_target';
@@ -12,6 +13,7 @@
 afterEach(() => entry.stop());
 
 const post = {method: 'POST', headers: {'idempotency-key': 'key'}};
+const firstPost = {method: 'POST', headers: {'idempotency-key': 'key', 'x-attempt': '1'}};
 const postBriefly = {
   method: 'POST',
   headers: {'idempotency-key': 'key', 'x-request-timeout-ms': '80'},
@@ -142,10 +144,26 @@
   it('refuse a non-idempotent request whose claim is not durable', async () => {
     await startEntry([echoPath]);
     entry.claims.decision = {decision: 'not-sent', reason: 'unavailable'};
-    const answer = await entry.send('/svc/orders/a', post);
+    const answer = await entry.send('/svc/orders/a', firstPost);
     expect(JSON.parse(answer.body)).toMatchObject({code: 2004, outcome: 'not-run', retryAfterS: 1});
     expect(entry.arrivals()).toBe(0);
   });
+
+  // Guards against "not run" for an operation whose earlier attempt ran and whose claim cannot be read now.
+  it.each<[string, ClaimDecision, string]>([
+    ['unavailable', {decision: 'not-sent', reason: 'unavailable'}, '3006'],
+    ['no-owner', {decision: 'not-sent', reason: 'no-owner'}, '3006'],
+    ['deadline', {decision: 'not-sent', reason: 'deadline'}, '3006'],
+  ])(
+    'do not say "not run" of earlier attempts when the claim is %s',
+    async (_name, decision, code) => {
+      await startEntry([echoPath]);
+      entry.claims.decision = decision;
+      const answer = await entry.send('/svc/orders/a', post);
+      expect(answer.headers['x-result-code']).toBe(code);
+      expect(JSON.parse(answer.body)).toMatchObject({outcome: 'unknown'});
+    },
+  );
 });
 
 describe('a request that crashes each target that runs it', () => {
--- a/packages/entry/src/caller_server.ts
+++ b/packages/entry/src/caller_server.ts
@@ -13,6 +13,7 @@
 import type {EntrySettings} from '@cuminsill/validation';
 import {Cause, Effect, Exit, Fiber, Option} from 'effect';
 import {operationKey, parseCall} from './call';
+import {trueRefusal} from './claimed_refusal';
 import type {EntryView} from './entry_view';
 import type {Forwarder} from './forwarder';
 import type {Refusals} from './refusals';
@@ -248,9 +249,10 @@
   private refuse(
     request: http.IncomingMessage,
     response: http.ServerResponse,
-    error: ResultError,
+    cause: ResultError,
     requestId = this.nextRequestId(),
   ): void {
+    const error = trueRefusal(request, cause);
     const serviceId = /^\/svc\/([^/?]{1,64})/.exec(request.url ?? '')?.[1] ?? '';
     this.countRefusal(error.result, serviceId);
     this.parts.refusals.send(
--- a/packages/entry/src/serve_once.ts
+++ b/packages/entry/src/serve_once.ts
@@ -9,6 +9,7 @@
 import type {ClaimDecision, ClaimOutcome} from '@cuminsill/claims';
 import {ResultError, resultCodes} from '@cuminsill/types';
 import {Effect, FiberSet} from 'effect';
+import {ClaimedRefusal} from './claimed_refusal';
 import {finishAnswer} from './finish_answer';
 import type {Flight, ForwarderParts} from './forwarder_parts';
 import {readKeptBody} from './relay_response';
@@ -69,7 +70,7 @@
       Effect.tapError(failed => reportFailure(parts, flight, failed, report)),
       // Interrupted while it waited for a slot: every attempt before provably did not run.
       Effect.onInterrupt(() => report({outcome: 'not-run'})),
-      Effect.mapError(failed => failed.refusal),
+      Effect.mapError(failed => new ClaimedRefusal(failed.refusal)),
     );
     const relayed = yield* finishAnswer(parts, flight, answered, keptAnswerBytes);
     yield* report(runOutcome(answered.response, relayed.keptBody));
--- a/packages/planner/src/explanation_texts.ts
+++ b/packages/planner/src/explanation_texts.ts
@@ -95,6 +95,12 @@
     advice:
       'Please check whether the booking, order or charge is there before you start a new one.',
   },
+  earlierAttemptUnknown: {
+    happened:
+      'We did not pass this attempt on, and could not check whether an earlier one went through.',
+    ran: 'This attempt did nothing. An earlier attempt may have been carried out.',
+    advice: 'Please send the same request again in a few minutes. It cannot happen twice.',
+  },
   targetFailed: {
     happened: 'A fault occurred while it was being worked on.',
     ran: 'It may have been carried out in whole or in part.',
--- a/packages/types/src/result_codes.ts
+++ b/packages/types/src/result_codes.ts
@@ -183,6 +183,14 @@
     false,
     'The operation ran before. Its answer was not kept, and it was not run again.',
   ),
+  earlierAttemptUnknown: define(
+    3006,
+    'earlier-attempt-unknown',
+    503,
+    'unknown',
+    true,
+    'This attempt was not sent to a target. Whether an earlier attempt with the same Idempotency-Key ran could not be checked. Send it again with the same key; it runs at most once.',
+  ),
   unauthenticated: define(
     4001,
     'unauthenticated',
