Tell interrupted requests from late ones and bound the demo's time

A trial of the demo counted requests that were late on a busy machine as interrupted by planned stops, and met cold targets with the full rate.

The caller reports whether nothing arrived within a second after the deadline. Interruptions and late requests are two checks, and both must hold. The rate grows over 8 s, deadlines are at most 10 s, and the demo and the bench end the processes that they started when they get a signal.

--- a/packages/loadtool/__tests__/promise_checks.test.ts
+++ b/packages/loadtool/__tests__/promise_checks.test.ts
@@ -25,6 +25,7 @@
       code: 0,
       whole: true,
       targetId,
+      timedOut: false,
       notRunRefusals: 0,
       attempts: 1,
       durationMs: 1,
@@ -94,6 +95,10 @@
     'planned stops interrupt no request',
     {samples: [...good.samples, sample(0, '', {kind: 'unknown'})]},
   ],
+  [
+    'requests end by their deadline',
+    {samples: [...good.samples, sample(0, '', {kind: 'unknown', timedOut: true})]},
+  ],
   ['changes are in force everywhere', {adoptionMs: 16_000}],
 ];
 
--- a/packages/loadtool/src/arrivals.ts
+++ b/packages/loadtool/src/arrivals.ts
@@ -24,6 +24,8 @@
   readonly ratePerS: number;
   readonly durationMs: number;
   readonly maxRequests: number;
+  /** Time in which the rate grows evenly from 0 to `ratePerS`, in milliseconds; 0 starts at the full rate. */
+  readonly rampUpMs: number;
 }
 
 /** Gives arrivals of a Poisson process in order of time; the same random source gives the same arrivals. */
@@ -35,9 +37,12 @@
   const totalWeight = streams.reduce((sum, stream) => sum + stream.weight, 0);
   if (totalWeight <= 0 || options.ratePerS <= 0) return;
   let atMs = 0;
-  for (let count = 0; count < options.maxRequests; count += 1) {
+  for (let count = 0; count < options.maxRequests;) {
     atMs += (-Math.log(1 - random.next()) * 1000) / options.ratePerS;
     if (atMs > options.durationMs) return;
+    // Leaving out arrivals at random keeps the process a Poisson process.
+    if (random.next() * options.rampUpMs > atMs) continue;
+    count += 1;
     yield {atMs, stream: pickStream(streams, random.next() * totalWeight)};
   }
 }
--- a/packages/loadtool/src/bin/bench.ts
+++ b/packages/loadtool/src/bin/bench.ts
@@ -3,6 +3,7 @@
 import {Command, InvalidArgumentError, Option} from 'commander';
 import {runBench} from '../bench';
 import {benchReportText} from '../bench_report';
+import {endWithChildrenOnSignal} from '../child_process';
 import {failProgram, packageVersion} from '../program';
 
 interface BenchCommandOptions {
@@ -35,6 +36,7 @@
   if (report.skipped.length > 0 && !options.baseline) process.exitCode = 1;
 }
 
+endWithChildrenOnSignal();
 new Command('bench')
   .description('Measures one entry against its target and a bare http server.')
   .version(packageVersion())
--- a/packages/loadtool/src/bin/demo.ts
+++ b/packages/loadtool/src/bin/demo.ts
@@ -10,6 +10,7 @@
 import {runDemo} from '../demo/demo_run';
 import type {DemoResult} from '../demo/demo_run';
 import {loadReportText} from '../load_report';
+import {endWithChildrenOnSignal} from '../child_process';
 import {failProgram, packageVersion} from '../program';
 import {formatTextTable} from '../text_table';
 
@@ -60,10 +61,11 @@
   if (result.checks.some(check => !check.holds)) process.exitCode = 1;
 }
 
+endWithChildrenOnSignal();
 new Command('demo')
   .description('Runs both example deployments and checks every promise.')
   .version(packageVersion())
-  .option('--duration-s <seconds>', 'length of the load', wholeNumber, 30)
+  .option('--duration-s <seconds>', 'length of the load', wholeNumber, 25)
   .addOption(new Option('--deployment <name>', 'run only this one').choices(deploymentNames))
   .option('--rate-percent <number>', 'part of the expected demand', wholeNumber, 100)
   .option('--seed <number>', 'seed of the arrivals', wholeNumber, 1)
--- a/packages/loadtool/src/child_process.ts
+++ b/packages/loadtool/src/child_process.ts
@@ -15,6 +15,15 @@
 const maxKeptErrorBytes = 4000; // enough for a stack trace in the message of a failed start
 const killAfterMs = 20_000; // longer than a graceful stop of an entry with its longest deadline in the demo
 
+const childrenAlive = new Set<ChildProcess>();
+
+/** Ends the process on a signal, and with it all processes that it started. */
+export function endWithChildrenOnSignal(): void {
+  process.once('exit', () => childrenAlive.forEach(child => child.kill('SIGKILL')));
+  process.once('SIGINT', () => process.exit(130));
+  process.once('SIGTERM', () => process.exit(143));
+}
+
 /** A process that is ready. */
 export class RunningChild {
   private constructor(
@@ -30,6 +39,8 @@
       const child = spawn(process.execPath, [command.file, ...command.args], {
         stdio: ['ignore', 'pipe', 'pipe'],
       });
+      childrenAlive.add(child);
+      child.once('exit', () => childrenAlive.delete(child));
       let errors = '';
       child.stderr.on('data', (chunk: Buffer) => {
         errors = (errors + chunk.toString('utf8')).slice(-maxKeptErrorBytes);
--- a/packages/loadtool/src/demo/demo_run.ts
+++ b/packages/loadtool/src/demo/demo_run.ts
@@ -31,6 +31,8 @@
 }
 
 const stepLimitMs = 20_000;
+const rampUpS = 8; // targets start cold and with one slot, and reach five slots after 8 s
+const maxTimeoutMs = 10_000; // bounds the end of the load, so that the demo takes less than a minute
 
 /** Runs the demo on one deployment. */
 export async function runDemo(name: DeploymentName, options: DemoOptions): Promise<DemoResult> {
@@ -99,6 +101,8 @@
     maxInFlight: 5000,
     callersPerRegion: 10,
     seed: options.seed,
+    rampUpS,
+    maxTimeoutMs,
   });
 }
 
--- a/packages/loadtool/src/demo/promise_checks.ts
+++ b/packages/loadtool/src/demo/promise_checks.ts
@@ -1,5 +1,6 @@
 /** Checks of the promises on the design page against what callers received and targets recorded. */
-import type {TargetRecord} from '@cuminsill/standins';
+import type {CallResult, TargetRecord} from '@cuminsill/standins';
+import {resultCodes} from '@cuminsill/types';
 import type {Catalog, RouteIntent} from '@cuminsill/types';
 import type {LoadSample} from '../load_run';
 
@@ -39,6 +40,7 @@
   checkRunsPerKey,
   checkLeavingTargets,
   checkInterrupted,
+  checkDeadlines,
   checkAdoption,
 ];
 
@@ -127,16 +129,31 @@
 /** Promise 7: planned stops interrupt no request. */
 export function checkInterrupted({samples, records}: RunEvidence): PromiseCheck {
   const cut = sum(records, record => record.cut);
-  const lost = samples.filter(({result}) =>
-    ['unknown', 'unreachable'].includes(result.kind),
-  ).length;
+  const lost = samples.filter(({result}) => isInterrupted(result)).length;
   return {
     name: 'planned stops interrupt no request',
     holds: cut === 0 && lost === 0,
-    detail: `${cut} requests cut at targets, ${lost} requests without an answer`,
+    detail: `${cut} requests cut at targets, ${lost} connections or answers lost`,
   };
 }
 
+/** Every request ends by its deadline, with an answer or a refusal. */
+export function checkDeadlines({samples}: RunEvidence): PromiseCheck {
+  const late = samples.filter(({result}) => result.timedOut).length;
+  return {
+    name: 'requests end by their deadline',
+    holds: late === 0,
+    detail: `${late} of ${samples.length} had no answer one second after it`,
+  };
+}
+
+/** Lost answers end as unknown; a deadline that passed at a target is no interruption. */
+function isInterrupted(result: CallResult): boolean {
+  if (result.kind === 'unreachable') return true;
+  const deadlinePassed = result.timedOut || result.code === resultCodes.deadlineExceeded.code;
+  return result.kind === 'unknown' && !deadlinePassed;
+}
+
 /** Promise 8: a change is in force everywhere within seconds. */
 export function checkAdoption({adoptionMs}: RunEvidence): PromiseCheck {
   return {
--- a/packages/loadtool/src/load_run.ts
+++ b/packages/loadtool/src/load_run.ts
@@ -22,6 +22,10 @@
   readonly maxInFlight: number;
   readonly callersPerRegion: number;
   readonly seed: number;
+  /** Time in which the rate grows to `ratePerS`, so that cold targets are not met with the full rate; 0 by default. */
+  readonly rampUpS?: number;
+  /** Longest deadline of a request in milliseconds; by default that of the service's contract. */
+  readonly maxTimeoutMs?: number;
   /** Relative frequency of each service; without it the catalog's demands decide. */
   readonly weights?: Readonly<Record<string, number>>;
 }
@@ -117,9 +121,10 @@
   }
 
   async toEnd(): Promise<LoadOutcome> {
-    const {ratePerS, durationS, maxRequests} = this.options;
+    const {ratePerS, durationS, maxRequests, rampUpS = 0} = this.options;
     const streams = makeStreams(this.options.catalog, this.options.weights);
-    const bounds = {ratePerS, durationMs: durationS * 1000, maxRequests};
+    const rampUpMs = rampUpS * 1000;
+    const bounds = {ratePerS, durationMs: durationS * 1000, maxRequests, rampUpMs};
     for (const arrival of makeArrivals(streams, bounds, this.random)) {
       const waitMs = arrival.atMs - this.elapsedMs();
       if (waitMs >= 1) await new Promise(resolve => setTimeout(resolve, waitMs));
@@ -141,7 +146,9 @@
     }
     this.lastKey += 1;
     const key = `load-${process.pid}-${this.options.seed}-${this.lastKey}`;
-    const done = caller.send(makeServiceRequest(service, key)).then(result => {
+    const request = makeServiceRequest(service, key);
+    const timeoutMs = Math.min(request.timeoutMs, this.options.maxTimeoutMs ?? Infinity);
+    const done = caller.send({...request, timeoutMs}).then(result => {
       const latencyMs = this.elapsedMs() - arrival.atMs;
       this.samples.push({serviceId, callerRegionId, dueAtMs: arrival.atMs, latencyMs, result});
       this.pending.delete(done);
--- a/packages/loadtool/src/load_settings.ts
+++ b/packages/loadtool/src/load_settings.ts
@@ -21,6 +21,8 @@
   maxInFlight: wholeNumberBetween(1, 100_000),
   callersPerRegion: wholeNumberBetween(1, 10_000),
   seed: wholeNumberBetween(0, 0x7fff_ffff),
+  rampUpS: Schema.optional(numberBetween(0, 86_400)),
+  maxTimeoutMs: Schema.optional(wholeNumberBetween(1, 3_600_000)),
   weights: Schema.optional(Schema.Record({key: Schema.String, value: numberBetween(0, 1_000_000)})),
 });
 
--- a/packages/standins/src/caller.ts
+++ b/packages/standins/src/caller.ts
@@ -39,6 +39,8 @@
   /** False when the answer is cut off or belongs to another request. */
   readonly whole: boolean;
   readonly targetId?: string;
+  /** True when nothing arrived within a second after the deadline. */
+  readonly timedOut: boolean;
   /** Refusals with outcome not-run that this request received, each of which must be true. */
   readonly notRunRefusals: number;
   readonly attempts: number;
@@ -83,7 +85,9 @@
   notRunRefusals: number;
 }
 
-type Ending = Pick<CallResult, 'kind' | 'status' | 'code' | 'whole' | 'targetId' | 'detail'>;
+type Ending = Pick<CallResult, 'kind' | 'status' | 'code' | 'whole' | 'targetId' | 'detail'> & {
+  readonly timedOut?: boolean;
+};
 
 let lastRequestNumber = 0;
 
@@ -114,6 +118,7 @@
       serviceId: request.serviceId,
       requestNumber: state.requestNumber,
       idempotencyKey: request.idempotencyKey,
+      timedOut: false,
       ...ending,
       notRunRefusals: state.notRunRefusals,
       attempts: state.attempts,
@@ -199,7 +204,8 @@
   private judge(state: CallState, result: ExchangeResult): Ending {
     if (result.kind === 'not-connected') return unreachable(result.detail);
     if (result.kind === 'lost') {
-      return {kind: 'unknown', status: 0, code: 0, whole: true, detail: result.detail};
+      const {detail, timedOut} = result;
+      return {kind: 'unknown', status: 0, code: 0, whole: true, timedOut, detail};
     }
     const refusal = jsonBody<ErrorBody>(result.body);
     if (refusal?.code !== undefined && refusal.outcome !== undefined) {
