Keep retries under the cap

Cause: with an entry cut off, 34.0% of a route's requests changed region within a window whose cap is 25%. Ruled out: the ramp, which kept its rate; the overflow of first attempts, which draws on the budget. Change: a retry that has tried all targets of its region draws on the overflow budget too.

--- a/packages/steering/src/request_placement.ts
+++ b/packages/steering/src/request_placement.ts
@@ -68,7 +68,8 @@
   }
 
   private tryOverflow(request: PendingRequest, preferred: PoolQueue | undefined): boolean {
-    const unlimited = this.isLostFor(request, preferred) || preferred?.pool.isRecovering() === true;
+    // A retry that has tried all targets of its region is no loss of the region and stays under the cap.
+    const unlimited = preferred === undefined || preferred.pool.isRecovering();
     if (!unlimited && !request.route.mayOverflow()) return false;
     for (const other of this.others(request)) {
       if (other === request.queue) continue;
--- a/packages/steering/src/slot_pool.ts
+++ b/packages/steering/src/slot_pool.ts
@@ -240,11 +240,11 @@
     return this.loss.recovering;
   }
 
-  /** True when a target that is not excluded can take work now or after a wait. */
+  /** True when a target that is not excluded can take work, now or on a slot that is borrowed later. */
   hasOtherTarget(excludedTargetIds: readonly string[]): boolean {
     if (excludedTargetIds.length === 0) return true;
     for (const target of this.targets.values()) {
-      if (target.leaving || target.down || target.heldSlots === 0) continue;
+      if (target.leaving || target.down) continue;
       if (!excludedTargetIds.includes(target.target.id)) return true;
     }
     return false;
