--- a/packages/config_sync/__tests__/config_sync.test.ts
+++ b/packages/config_sync/__tests__/config_sync.test.ts
@@ -1,36 +1,255 @@
+/**
+ * Jest keeps every value that is assigned to a global. Effect assigns each fiber that runs, so long simulations
+ * exhaust the heap without this setting.
+ *
+ * @jest-environment-options {"globalsCleanup": "off"}
+ */
+import type {StoreFault} from '@cuminsill/standins';
+import * as fc from 'fast-check';
+import type {ConfigFleetOptions} from './support/sim_config_fleet';
 import {intentChange, SimConfigFleet} from './support/sim_config_fleet';
 
-describe('ConfigSync in a fleet', () => {
-  it('accepts a change and brings it into force everywhere', () => {
-    const fleet = new SimConfigFleet({instances: 12, regions: 3});
-    fleet.time.advance(5_000);
+jest.setTimeout(60_000);
+
+function runningFleet(options: ConfigFleetOptions = {instances: 12, regions: 3}): SimConfigFleet {
+  const fleet = new SimConfigFleet(options);
+  fleet.time.advance(5_000);
+  return fleet;
+}
+
+function failNextWrite(fleet: SimConfigFleet, fault: StoreFault): void {
+  let faults = 0;
+  fleet.store.setFaultPlan(kind => {
+    if (kind !== 'write' || faults > 0) return 'none';
+    faults += 1;
+    return fault;
+  });
+}
+
+describe('submitting a change', () => {
+  it('accepts it and brings it into force everywhere', () => {
+    const fleet = runningFleet();
     expect(fleet.result(fleet.submit('i-4', intentChange(1, 'a')))).toBe('accepted 1');
-    expect(fleet.spread(1)).toBeLessThanOrEqual(15_000);
+    expect(fleet.spread(1, 15_000)).toBeDefined();
     expect(fleet.reverted).toEqual([]);
   });
 
   it('lets one of two racing operators win and shows the other the new state', () => {
-    const fleet = new SimConfigFleet({instances: 6, regions: 2});
-    fleet.time.advance(5_000);
+    const fleet = runningFleet();
     const first = fleet.submit('i-1', intentChange(1, 'a'));
     const second = fleet.submit('i-2', intentChange(1, 'b'));
     const results = [fleet.result(first), fleet.result(second)];
     expect(results.sort()).toEqual(['ConfigConflictError', 'accepted 1']);
   });
 
+  it('refuses a change that was made for an older configuration', () => {
+    const fleet = runningFleet();
+    fleet.result(fleet.submit('i-1', intentChange(1, 'a')));
+    expect(fleet.result(fleet.submit('i-1', intentChange(1, 'b')))).toBe('ConfigConflictError');
+  });
+
   it.each(['answer-lost-after-write', 'answer-lost-before-write'] as const)(
-    'stores a change once when its answer is lost (%s)',
+    'stores it once when its answer is lost (%s)',
     fault => {
-      const fleet = new SimConfigFleet({instances: 6, regions: 2});
-      fleet.time.advance(5_000);
-      let faults = 0;
-      fleet.store.setFaultPlan(kind => {
-        if (kind !== 'write' || faults > 0) return 'none';
-        faults += 1;
-        return fault;
-      });
+      const fleet = runningFleet();
+      failNextWrite(fleet, fault);
       expect(fleet.result(fleet.submit('i-1', intentChange(1, 'a')))).toBe('accepted 1');
       expect(fleet.store.keys()).toEqual(['config/log/000000000001']);
     },
   );
+
+  it('answers a second confirmation of the same plan like the first, through any instance', () => {
+    const fleet = runningFleet();
+    const both = [
+      fleet.submit('i-1', intentChange(1, 'a')),
+      fleet.submit('i-2', intentChange(1, 'a')),
+    ];
+    expect(both.map(fiber => fleet.result(fiber))).toEqual(['accepted 1', 'accepted 1']);
+    expect(fleet.result(fleet.submit('i-3', intentChange(1, 'a')))).toBe('accepted 1');
+    expect(fleet.store.keys()).toHaveLength(1);
+  });
+
+  it('says that the outcome is unknown when the store stays silent, and settles it later', () => {
+    const fleet = runningFleet();
+    fleet.store.setFaultPlan(kind =>
+      kind === 'write' ? 'answer-lost-after-write' : 'unavailable',
+    );
+    expect(fleet.result(fleet.submit('i-1', intentChange(1, 'a')))).toBe(
+      'ConfigOutcomeUnknownError',
+    );
+    fleet.store.setOutage(false);
+    expect(fleet.result(fleet.submit('i-1', intentChange(1, 'a')))).toBe('accepted 1');
+  });
+
+  it('stores nothing in an outage', () => {
+    const fleet = runningFleet();
+    fleet.store.setOutage(true);
+    const result = fleet.result(fleet.submit('i-1', intentChange(1, 'a')));
+    expect(result).toBe('ConfigStoreUnavailableError');
+  });
+
+  it('only says stored when no other failure domain answers', () => {
+    const fleet = runningFleet();
+    fleet.isCut = (from, to) => from.failureDomainId !== to.failureDomainId;
+    expect(fleet.result(fleet.submit('i-4', intentChange(1, 'a')))).toBe('stored 1');
+  });
+});
+
+describe('distribution', () => {
+  // The accepting instance pushes to two other failure domains before it answers; these must carry on alone.
+  it.each([1, 2, 3, 4, 5])(
+    'completes without the store and the accepting instance (seed %i)',
+    seed => {
+      const fleet = runningFleet({instances: 60, regions: 3, seed});
+      // The watchers must not see the change in the store.
+      fleet.store.setFaultPlan(kind => (kind === 'write' ? 'none' : 'unavailable'));
+      fleet.time.advance(31_000);
+      const fiber = fleet.submit('i-7', intentChange(1, 'a'));
+      fleet.time.advanceUntil(() => fiber.unsafePoll() !== null, 5_000, 1);
+      expect(fleet.result(fiber)).toBe('accepted 1');
+      fleet.kill('i-7');
+      fleet.store.setOutage(true);
+      expect(fleet.spread(1, 15_000)).toBeDefined();
+    },
+  );
+
+  it('reaches all instances within 15 s with 20% loss', () => {
+    const fleet = runningFleet({instances: 60, regions: 3});
+    fleet.dropRate = 0.2;
+    fleet.submit('i-4', intentChange(1, 'a'));
+    expect(fleet.spread(1, 15_000)).toBeDefined();
+  });
+
+  it('ignores and counts invalid messages', () => {
+    const fleet = runningFleet();
+    const {sync} = fleet.node('i-1');
+    const bad = [Buffer.from('{'), Buffer.from('{"version":"1"}')];
+    for (const json of bad) {
+      fleet.time.fork(sync.receivePush({changesJson: [json], forwardToInstanceIds: []} as never));
+    }
+    fleet.time.fork(sync.receivePush({changesJson: [], forwardToInstanceIds: ['../x']} as never));
+    expect(sync.invalidParts()).toBe(3);
+    expect(sync.current().version).toBe(0);
+  });
+});
+
+describe('outages', () => {
+  it('loads the configuration from peers when an instance restarts during one', () => {
+    const fleet = runningFleet();
+    fleet.result(fleet.submit('i-1', intentChange(1, 'a')));
+    fleet.spread(1);
+    fleet.store.setOutage(true);
+    fleet.kill('i-5');
+    const restarted = fleet.start(fleet.instanceAt(5));
+    const ready = () => restarted.sync.isReady() && restarted.sync.current().version === 1;
+    expect(fleet.time.advanceUntil(ready, 5_000)).toBeDefined();
+  });
+
+  it('is not ready when all instances were replaced at once, until the store returns', () => {
+    const fleet = runningFleet();
+    fleet.result(fleet.submit('i-1', intentChange(1, 'a')));
+    fleet.store.setOutage(true);
+    const instances = fleet.alive().map(node => node.instance);
+    for (const instance of instances) fleet.kill(instance.id);
+    for (const instance of instances) fleet.start(instance);
+    fleet.time.advance(60_000);
+    expect(fleet.alive().filter(node => node.sync.isReady())).toEqual([]);
+    fleet.store.setOutage(false);
+    expect(fleet.spread(1, 45_000)).toBeDefined();
+    expect(fleet.alive().every(node => node.sync.isReady())).toBe(true);
+  });
+
+  it('keeps the version while all instances are replaced one after another', () => {
+    const fleet = runningFleet();
+    fleet.result(fleet.submit('i-1', intentChange(1, 'a')));
+    fleet.spread(1);
+    fleet.store.setOutage(true);
+    for (const {instance} of fleet.alive()) {
+      fleet.kill(instance.id);
+      fleet.start(instance);
+      fleet.time.advance(5_000);
+    }
+    expect(fleet.alive().every(node => node.sync.current().version === 1)).toBe(true);
+  });
+
+  it('makes no rush of calls when the store returns', () => {
+    const fleet = runningFleet({instances: 45, regions: 3});
+    fleet.store.setOutage(true);
+    fleet.time.advance(240_000);
+    const inOutage = callsDuring(fleet, 60_000);
+    fleet.store.setOutage(false);
+    // Six watchers; each reads the checkpoint and the log once and then watches.
+    expect(inOutage).toBeLessThanOrEqual(6 * 5);
+    expect(callsDuring(fleet, 1_000)).toBeLessThanOrEqual(6 * 3);
+  });
+
+  it('brings a region up to date that was cut off from peers and store for an hour', () => {
+    const fleet = runningFleet({instances: 6, regions: 2, settings: {historyChanges: 5}});
+    fleet.isCut = (from, to) => from.regionId !== to.regionId;
+    fleet.time.advance(60_000);
+    for (let version = 1; version <= 12; version += 1) {
+      fleet.result(fleet.submit('i-0', intentChange(version, `p-${version}`)));
+      fleet.time.advance(300_000);
+    }
+    fleet.isCut = () => false;
+    expect(fleet.spread(12, 15_000)).toBeDefined();
+    expect(fleet.reverted).toEqual([]);
+  });
+});
+
+function callsDuring(fleet: SimConfigFleet, durationMs: number): number {
+  const total = () =>
+    Object.values(fleet.store.callCounts()).reduce((sum, count) => sum + count, 0);
+  const before = total();
+  fleet.time.advance(durationMs);
+  return total() - before;
+}
+
+describe('monotonic adoption', () => {
+  // Whatever fails, no process of any instance may go back, and all end with the state that the log holds.
+  it('holds under random crashes, cuts, losses and lost answers', () => {
+    const step = fc.record({
+      action: fc.constantFrom('submit', 'kill', 'cut', 'heal', 'outage', 'loss', 'lost-answer'),
+      instance: fc.integer({min: 0, max: 8}),
+      waitMs: fc.integer({min: 10, max: 8_000}),
+    });
+    const run = (steps: ReadonlyArray<{action: string; instance: number; waitMs: number}>) => {
+      const fleet = runningFleet({instances: 9, regions: 3, settings: {historyChanges: 3}});
+      let submitted = 0;
+      for (const {action, instance, waitMs} of steps) {
+        const id = `i-${instance}`;
+        if (action === 'submit') {
+          const version = fleet.node(id).sync.current().version + 1;
+          submitted += 1;
+          fleet.submit(id, intentChange(version, `p-${submitted}`));
+        }
+        if (action === 'kill') {
+          fleet.kill(id);
+          fleet.start(fleet.instanceAt(instance));
+        }
+        if (action === 'cut') fleet.isCut = (from, to) => from.regionId !== to.regionId;
+        if (action === 'outage') fleet.store.setOutage(true);
+        if (action === 'loss') fleet.dropRate = 0.3;
+        if (action === 'lost-answer') failNextWrite(fleet, 'answer-lost-after-write');
+        if (action === 'heal') {
+          fleet.isCut = () => false;
+          fleet.dropRate = 0;
+          fleet.store.setOutage(false);
+        }
+        fleet.time.advance(waitMs);
+      }
+      fleet.isCut = () => false;
+      fleet.dropRate = 0;
+      fleet.store.setOutage(false);
+      fleet.time.advance(60_000);
+      const stored = fleet.store.keys().length;
+      expect(fleet.alive().map(node => node.sync.current().version)).toEqual(
+        fleet.alive().map(() => stored),
+      );
+      const states = fleet.alive().map(node => JSON.stringify(node.sync.current()));
+      expect(new Set(states).size).toBe(1);
+      expect(fleet.reverted).toEqual([]);
+    };
+    fc.assert(fc.property(fc.array(step, {maxLength: 12}), run), {seed: 20_261, numRuns: 25});
+  });
 });
--- a/packages/config_sync/__tests__/support/sim_config_fleet.ts
+++ b/packages/config_sync/__tests__/support/sim_config_fleet.ts
@@ -17,6 +17,9 @@
 import {ConfigTransportError} from '../../src/errors';
 import type {ConfigSyncSettings, SubmitResult} from '../../src/options';
 
+/** Never ends. Effect.never would hold a real timer, which keeps the test process alive. */
+const noAnswer: Effect.Effect<never> = Effect.async<never>(() => undefined);
+
 export interface ConfigFleetOptions {
   readonly instances: number;
   readonly regions: number;
@@ -67,6 +70,12 @@
   };
 }
 
+interface CachedView {
+  readonly isCut: SimConfigFleet['isCut'];
+  readonly running: string;
+  readonly members: readonly Member[];
+}
+
 export class SimConfigFleet {
   readonly time = new VirtualTime();
   readonly store = new MemoryStore();
@@ -78,6 +87,8 @@
   readonly reverted: string[] = [];
   private readonly random;
   private started = 0;
+  private killed = 0;
+  private readonly views = new Map<string, CachedView>();
 
   constructor(readonly options: ConfigFleetOptions) {
     this.random = seededRandom(options.seed ?? 1);
@@ -133,6 +144,7 @@
   kill(id: string): void {
     const node = this.node(id);
     node.alive = false;
+    this.killed += 1;
     this.time.fork(Scope.close(node.scope, Exit.void));
   }
 
@@ -168,6 +180,15 @@
   }
 
   private members(self: Instance): readonly Member[] {
+    const running = `${this.started} ${this.killed}`;
+    const cached = this.views.get(self.id);
+    if (cached?.isCut === this.isCut && cached.running === running) return cached.members;
+    const members = this.membersNow(self);
+    this.views.set(self.id, {isCut: this.isCut, running, members});
+    return members;
+  }
+
+  private membersNow(self: Instance): readonly Member[] {
     return [...this.nodes.values()].map(({instance, alive}) => ({
       instance,
       state: 'serving',
@@ -191,7 +212,7 @@
         return yield* new ConfigTransportError({detail: 'connection refused'});
       }
       yield* this.travel(from, to);
-      if (!node.alive) return yield* Effect.never;
+      if (!node.alive) return yield* noAnswer;
       const reply = yield* handle(node);
       yield* this.travel(to, from);
       return reply;
@@ -200,7 +221,7 @@
 
   private travel(from: Instance, to: Instance): Effect.Effect<void> {
     return Effect.suspend(() => {
-      if (this.isCut(from, to) || this.random.next() < this.dropRate) return Effect.never;
+      if (this.isCut(from, to) || this.random.next() < this.dropRate) return noAnswer;
       return Effect.sleep(Duration.millis(from.regionId === to.regionId ? 1 : 55));
     });
   }
--- a/packages/config_sync/src/members_by_role.ts
+++ b/packages/config_sync/src/members_by_role.ts
@@ -3,6 +3,9 @@
 import type {RandomSource} from '@cuminsill/utils';
 import {ownerByRendezvous, randomBelow, rankByRendezvous} from '@cuminsill/utils';
 
+/** Draws per wanted peer; with half of the members unreachable, one of 4,000 searches finds none. */
+const drawsPerPeer = 12;
+
 /** Members that may answer. A suspected one may still, and its duties have a second holder. */
 export function answeringMembers(members: readonly Member[]): readonly Member[] {
   return members.filter(member => member.reachability !== 'unreachable');
@@ -76,15 +79,21 @@
   return [...first, ...rest];
 }
 
-/** Up to `count` random members other than the own instance. */
+/** Up to `count` random members other than the own instance, found by drawing rather than by sorting all members. */
 export function randomPeers(
   members: readonly Member[],
   selfId: string,
   count: number,
   random: RandomSource,
 ): readonly Member[] {
-  const peers = answeringMembers(members).filter(member => member.instance.id !== selfId);
-  return shuffled(peers, random).slice(0, count);
+  const chosen = new Set<Member>();
+  const draws = Math.min(members.length, count) * drawsPerPeer;
+  for (let draw = 0; draw < draws && chosen.size < count; draw += 1) {
+    const member = members[randomBelow(random, members.length)];
+    if (member === undefined || member.instance.id === selfId) continue;
+    if (member.reachability !== 'unreachable') chosen.add(member);
+  }
+  return [...chosen];
 }
 
 /** Divides a list into at most `count` parts of about the same length. */
--- a/packages/membership/__tests__/support/sim_fleet.ts
+++ b/packages/membership/__tests__/support/sim_fleet.ts
@@ -9,6 +9,9 @@
 import {HeartbeatError} from '../../src/options';
 import {PausableClock, VirtualTime} from '../../src/virtual_time';
 
+/** Never ends. Effect.never would hold a real timer, which keeps the test process alive. */
+const noAnswer: Effect.Effect<never> = Effect.async<never>(() => undefined);
+
 export interface FleetOptions {
   readonly instances: number;
   readonly regions: number;
@@ -145,7 +148,7 @@
         return yield* new HeartbeatError({detail: 'connection refused'});
       }
       yield* this.travel(from, to.instance);
-      if (!to.alive || to.clock.paused) return yield* Effect.never;
+      if (!to.alive || to.clock.paused) return yield* noAnswer;
       const reply = to.membership.receive(request);
       yield* this.travel(to.instance, from);
       return reply;
@@ -154,7 +157,7 @@
 
   private travel(from: Instance, to: Instance): Effect.Effect<void> {
     return Effect.suspend(() => {
-      if (this.isCut(from, to) || this.random.next() < this.dropRate) return Effect.never;
+      if (this.isCut(from, to) || this.random.next() < this.dropRate) return noAnswer;
       return Effect.sleep(Duration.millis(from.regionId === to.regionId ? 1 : 55));
     });
   }
--- /dev/null
+++ b/packages/membership/__tests__/table_and_messages.test.ts
@@ -0,0 +1,185 @@
+import {create} from '@bufbuild/protobuf';
+import {silentLogger, silentMetrics} from '@cuminsill/logger';
+import {HeartbeatRequestSchema, InstanceViewSchema} from '@cuminsill/protocol';
+import type {InstanceView} from '@cuminsill/protocol';
+import type {Instance, Member, Reachability} from '@cuminsill/types';
+import {seededRandom} from '@cuminsill/utils';
+import type {Scope} from 'effect';
+import {Duration, Effect, TestClock, TestContext} from 'effect';
+import * as fc from 'fast-check';
+import {Membership} from '../src/membership';
+import {MemberTable} from '../src/member_table';
+import {HeartbeatError} from '../src/options';
+import {sendLimitFor, UpdateQueue} from '../src/update_queue';
+import {memberFromWire, memberToWire} from '../src/wire_checks';
+
+const seed = 20_262;
+
+function instance(id: string): Instance {
+  const address = {host: '10.0.0.1', port: 7000};
+  return {
+    id,
+    regionId: 'r0',
+    failureDomainId: 'r0-a',
+    callerAddress: address,
+    entryPeerAddress: address,
+    controlPeerAddress: address,
+  };
+}
+
+function member(id: string, changes: Partial<Member> = {}): Member {
+  const base = {state: 'serving', reachability: 'reachable', incarnation: 1, configVersion: 0};
+  return {instance: instance(id), ...base, ...changes} as Member;
+}
+
+const anyMember = fc.record({
+  reachability: fc.constantFrom<Reachability>('reachable', 'suspect', 'unreachable'),
+  incarnation: fc.integer({min: 1, max: 4}),
+});
+
+describe('MemberTable', () => {
+  // Messages arrive in any order; two instances that heard the same must not see different things.
+  it('ends with the same view in any order of updates', () => {
+    const property = fc.property(
+      fc.array(anyMember, {maxLength: 8}),
+      fc.array(fc.nat(), {minLength: 8, maxLength: 8}),
+      (updates, order) => {
+        const viewAfter = (list: ReadonlyArray<Partial<Member>>) => {
+          const table = new MemberTable(instance('self'), 1, () => undefined);
+          table.merge(member('a', {incarnation: 0}), 0);
+          for (const update of list) table.merge(member('a', update), 0);
+          return table.get('a')?.member;
+        };
+        const shuffled = updates
+          .map((update, index) => ({update, rank: order[index] ?? 0}))
+          .sort((a, b) => a.rank - b.rank)
+          .map(({update}) => update);
+        expect(viewAfter(shuffled)).toEqual(viewAfter(updates));
+      },
+    );
+    fc.assert(property, {seed});
+  });
+
+  it.each([
+    {name: 'a suspicion', update: {incarnation: 5, reachability: 'suspect'}, expected: 6},
+    {name: 'a record from a clock ahead', update: {incarnation: 9}, expected: 10},
+    {name: 'an old record', update: {incarnation: 4, reachability: 'unreachable'}, expected: 5},
+  ] as const)('answers $name about itself', ({update, expected}) => {
+    const table = new MemberTable(instance('self'), 5, () => undefined);
+    table.merge(member('self', update), 0);
+    expect(table.self().incarnation).toBe(expected);
+    expect(table.self().reachability).toBe('reachable');
+  });
+
+  // A forgotten instance would otherwise come back from instances that forget it a little later.
+  it('does not add an unknown instance that is unreachable', () => {
+    const table = new MemberTable(instance('self'), 1, () => undefined);
+    table.merge(member('a', {reachability: 'unreachable'}), 0);
+    expect(table.size()).toBe(1);
+  });
+});
+
+describe('received messages', () => {
+  const bad: ReadonlyArray<[string, Partial<InstanceView>]> = [
+    ['instance id', {instanceId: '../etc'}],
+    ['empty region', {regionId: ''}],
+    ['failure domain', {failureDomainId: 'A B'}],
+    ['host', {callerHost: 'example.org'}],
+    ['port', {controlPeerPort: 65_536}],
+    ['missing port', {entryPeerPort: 0}],
+    ['state', {state: 'gone'}],
+    ['reachability', {reachability: ''}],
+    ['incarnation', {incarnation: 2n ** 63n}],
+    ['configuration version', {configVersion: 2n ** 60n}],
+  ];
+  it.each(bad)('are refused for a wrong %s', (_field, change) => {
+    const view = create(InstanceViewSchema, {...memberToWire(member('a')), ...change} as never);
+    expect(memberFromWire(memberToWire(member('a')))).toEqual(member('a'));
+    expect(memberFromWire(view)).toBeUndefined();
+  });
+
+  it('never fail the receiver, and are counted', () => {
+    const program = Effect.gen(function* () {
+      const {membership} = yield* startMembership(() => Effect.never);
+      const text = fc.oneof(fc.string(), fc.constantFrom('a', 'r0', 'serving', '10.0.0.1'));
+      const view = fc.record({instanceId: text, regionId: text, state: text, callerHost: text});
+      const property = fc.property(view, fc.array(view), (sender, updates) => {
+        const before = membership.invalidParts();
+        membership.receive(create(HeartbeatRequestSchema, {sender, updates}));
+        expect(membership.invalidParts()).toBeGreaterThan(before);
+        expect(membership.members()).toHaveLength(1);
+      });
+      fc.assert(property, {seed, numRuns: 200});
+    });
+    return run(program);
+  });
+
+  it.each([
+    ['a report from the future', {targetId: 't', health: 'healthy', observedAtMs: 10n ** 15n}],
+    ['a report of unknown health', {targetId: 't', health: 'fine', observedAtMs: 1n}],
+  ])('ignore %s', (_name, report) =>
+    run(
+      Effect.gen(function* () {
+        const {membership} = yield* startMembership(() => Effect.never);
+        const sender = memberToWire(member('a'));
+        membership.receive(
+          create(HeartbeatRequestSchema, {sender, targetReports: [report as never]}),
+        );
+        expect(membership.targetReports()).toEqual([]);
+        expect(membership.invalidParts()).toBe(1);
+      }),
+    ),
+  );
+});
+
+describe('timing on Effect TestClock', () => {
+  it('suspects after three missed heartbeats and gives up 3 s later', () =>
+    run(
+      Effect.gen(function* () {
+        const refused = () => Effect.fail(new HeartbeatError({detail: 'refused'}));
+        const {membership} = yield* startMembership(refused);
+        const reachability = () => membership.member('a')?.reachability;
+        membership.receive(create(HeartbeatRequestSchema, {sender: memberToWire(member('a'))}));
+        yield* TestClock.adjust(Duration.millis(1_900));
+        expect(reachability()).toBe('reachable');
+        yield* TestClock.adjust(Duration.millis(1_600));
+        expect(reachability()).toBe('suspect');
+        yield* TestClock.adjust(Duration.millis(3_500));
+        expect(reachability()).toBe('unreachable');
+        expect(membership.contactAgeMs()).toBe(7_000);
+      }),
+    ));
+});
+
+describe('UpdateQueue', () => {
+  it('sends each change a bounded number of times that grows with the logarithm of the fleet', () => {
+    const queue = new UpdateQueue<string>();
+    queue.enqueue('a', 'a');
+    const sends = Array.from({length: 100}, () => queue.take(10, sendLimitFor(1_000)).length);
+    expect(sends.filter(count => count > 0)).toHaveLength(34);
+    expect(sendLimitFor(3_500) - sendLimitFor(10)).toBeLessThan(30);
+  });
+
+  it('sends the first copies of a burst before more copies of any, newest first', () => {
+    const queue = new UpdateQueue<string>();
+    for (const id of ['a', 'b', 'c', 'd']) queue.enqueue(id, id);
+    expect(queue.take(2, 5)).toEqual(['d', 'c']);
+    expect(queue.take(2, 5)).toEqual(['b', 'a']);
+  });
+});
+
+function startMembership(heartbeat: () => Effect.Effect<never, HeartbeatError>) {
+  return Membership.start({
+    self: instance('self'),
+    transport: {heartbeat},
+    seedPeers: [],
+    listedInstances: () => [],
+    random: seededRandom(seed),
+    logger: silentLogger,
+    metrics: silentMetrics,
+  }).pipe(Effect.map(membership => ({membership})));
+}
+
+function run<A, E>(program: Effect.Effect<A, E, Scope.Scope>): Promise<A> {
+  return Effect.runPromise(program.pipe(Effect.scoped, Effect.provide(TestContext.TestContext)));
+}
--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -18,10 +18,15 @@
 import type {Now} from './message_exchange';
 import {MessageExchange} from './message_exchange';
 import {Observations} from './observations';
-import type {MembershipChange, MembershipListener, MembershipOptions} from './options';
+import type {
+  MembershipChange,
+  MembershipListener,
+  MembershipOptions,
+  MembershipSettings,
+} from './options';
 import {defaultMembershipSettings} from './options';
-import type {MembershipSettings} from './options';
 import {PeerChoice} from './peer_choice';
+import {PlatformList} from './platform_list';
 
 /** Interval at which deadlines are checked. */
 const sweepIntervalMs = 250;
@@ -39,6 +44,7 @@
   private readonly observations = new Observations();
   private readonly exchange: MessageExchange;
   private readonly peers: PeerChoice;
+  private readonly platformList: PlatformList;
   private readonly listeners = new Set<MembershipListener>();
   private readonly monitors = new Map<string, Fiber.RuntimeFiber<void>>();
   private lastAnswerMs: number;
@@ -64,6 +70,7 @@
       onNewSuspicion: () => this.requestImmediateRound(),
     });
     this.peers = new PeerChoice(this.table, options.random, this.settings.ringPeers);
+    this.platformList = new PlatformList(options, this.table);
     this.lastAnswerMs = this.now().monotonicMs;
     this.sweptAtMs = this.lastAnswerMs;
   }
@@ -253,7 +260,7 @@
       for (;;) {
         const known = this.peers.randomUnreachable();
         const entry = known === undefined ? undefined : this.table.get(known);
-        const candidates = this.unknownAddresses();
+        const candidates = this.platformList.unknownAddresses();
         const chosen = candidates[randomBelow(this.options.random, candidates.length)];
         if (chosen !== undefined) yield* this.send(chosen, undefined);
         if (entry !== undefined) {
@@ -264,20 +271,6 @@
     });
   }
 
-  private unknownAddresses(): readonly SocketAddress[] {
-    const self = this.table.self().instance;
-    const knownAddresses = new Set(
-      this.table.members().map(member => addressKey(member.instance.controlPeerAddress)),
-    );
-    const listed = this.options
-      .listedInstances()
-      .filter(({instance, leaving}) => !leaving && this.table.get(instance.id) === undefined)
-      .filter(({instance}) => instance.id !== self.id)
-      .map(({instance}) => instance.controlPeerAddress);
-    const seeds = this.options.seedPeers.filter(seed => !knownAddresses.has(addressKey(seed)));
-    return [...seeds, ...listed];
-  }
-
   private sweep(): Effect.Effect<void> {
     return Effect.gen(this, function* () {
       for (;;) {
@@ -294,9 +287,7 @@
   }
 
   private checkDeadlines(now: Now): void {
-    const listed = new Map(
-      this.options.listedInstances().map(entry => [entry.instance.id, entry.leaving]),
-    );
+    const listed = this.platformList.leavingById();
     for (const entry of [...this.table.others()]) {
       const {reachability, state, instance} = entry.member;
       if (reachability === 'reachable') continue;
@@ -305,7 +296,7 @@
         if (this.suspicionEnded(entry, now)) this.table.declareUnreachable(entry, now.monotonicMs);
       } else if (
         now.monotonicMs - entry.sinceMs >= this.settings.forgetMs &&
-        listed.get(instance.id) !== false
+        !listed.has(instance.id)
       ) {
         this.table.forget(instance.id);
       }
@@ -381,7 +372,3 @@
     return Effect.sleep(Duration.millis(Math.floor(durationMs)));
   }
 }
-
-function addressKey(address: SocketAddress): string {
-  return `${address.host} ${address.port}`;
-}
--- a/packages/membership/src/observations.ts
+++ b/packages/membership/src/observations.ts
@@ -66,8 +66,9 @@
   }
 
   /**
-   * Takes reports for one message. Another region needs only changes of health: an entry weighs the load of the
-   * targets that it sends to, and those of its own region are the bulk.
+   * Takes reports for one message, changes of health first. While more reports wait than one message holds, other
+   * regions get changes of health only: most requests go to targets of the own region, and all reports of a large
+   * fleet would exceed the traffic allowed per node.
    */
   takeReports(
     limit: number,
@@ -75,10 +76,21 @@
     toOtherRegion: boolean,
     nowMs: number,
   ): readonly TargetReport[] {
-    const accepts = (queued: QueuedReport) =>
-      queued.report.observedAtMs >= nowMs - maxReportAgeMs &&
-      (!toOtherRegion || queued.healthChanged || queued.report.health !== 'healthy');
-    return this.reportQueue.take(limit, sendLimit, accepts).map(queued => queued.report);
+    const oldestMs = nowMs - maxReportAgeMs;
+    const healthOnly = toOtherRegion && this.reportQueue.size > limit;
+    const changed = this.reportQueue.take(
+      limit,
+      sendLimit,
+      queued => queued.healthChanged && queued.report.observedAtMs >= oldestMs,
+    );
+    const others = healthOnly
+      ? []
+      : this.reportQueue.take(
+          limit - changed.length,
+          sendLimit,
+          queued => !queued.healthChanged && queued.report.observedAtMs >= oldestMs,
+        );
+    return [...changed, ...others].map(queued => queued.report);
   }
 
   /** Takes suspicions for one message. */
--- a/packages/membership/src/update_queue.ts
+++ b/packages/membership/src/update_queue.ts
@@ -38,7 +38,7 @@
     sendLimit: number,
     accepts: (value: T) => boolean = () => true,
   ): readonly T[] {
-    if (this.items.size === 0) return [];
+    if (this.items.size === 0 || limit <= 0) return [];
     const candidates = [...this.items].filter(([, item]) => accepts(item.value));
     if (candidates.length > limit) {
       candidates.sort(([, a], [, b]) => a.sends - b.sends || b.order - a.order);
