--- a/packages/steering/__fixtures__/measure_policy.ts
+++ b/packages/steering/__fixtures__/measure_policy.ts
@@ -1,4 +1,9 @@
-/** Runs the policy bench and prints a table, then JSON. `--scenario <text>` runs only matching scenarios. */
+/**
+ * Runs the policy bench and prints a table, then JSON. `--scenario <text>` runs only matching scenarios and
+ * `--steering-only` leaves the baselines out. Each deployment has a thread of its own.
+ */
+import {isMainThread, parentPort, Worker, workerData} from 'node:worker_threads';
+import type {Deployment} from './bench_deployments';
 import {deployments} from './bench_deployments';
 import type {BenchFigures} from './bench_metrics';
 import type {PolicyName} from './bench_run';
@@ -23,34 +28,32 @@
   return `${(value * 100).toFixed(1)}%`;
 }
 
-function runAll(): readonly ResultRow[] {
+function runDeployment(deployment: Deployment): readonly ResultRow[] {
   const rows: ResultRow[] = [];
   const wanted = argument('--scenario');
   const onlySteering = process.argv.includes('--steering-only');
-  for (const deployment of deployments) {
-    for (const scenario of scenarios.filter(({name}) => name.includes(wanted))) {
-      const policies: readonly PolicyName[] =
-        scenario.baselines && !onlySteering ? ['steering', ...baselineNames] : ['steering'];
-      for (const policy of policies) {
-        const run = new BenchRun(deployment, {
-          policy,
-          load: scenario.load,
-          serviceIds: deployment.services.slice(0, scenario.services).map(({id}) => id),
-          reports: scenario.reports ?? 'late',
-          faults: true,
-          seed: 7,
-        });
-        scenario.prepare?.(run, deployment);
-        const figures = run.run(scenario.durationS);
-        const {name} = deployment;
-        rows.push({
-          deployment: name,
-          scenario: scenario.name,
-          policy,
-          cap: scenario.cap,
-          ...figures,
-        });
-      }
+  for (const scenario of scenarios.filter(({name}) => name.includes(wanted))) {
+    const policies: readonly PolicyName[] =
+      scenario.baselines && !onlySteering ? ['steering', ...baselineNames] : ['steering'];
+    for (const policy of policies) {
+      const run = new BenchRun(deployment, {
+        policy,
+        load: scenario.load,
+        serviceIds: deployment.services.slice(0, scenario.services).map(({id}) => id),
+        reports: scenario.reports ?? 'late',
+        faults: true,
+        seed: 7,
+      });
+      scenario.prepare?.(run, deployment);
+      const figures = run.run(scenario.durationS);
+      const {name} = deployment;
+      rows.push({
+        deployment: name,
+        scenario: scenario.name,
+        policy,
+        cap: scenario.cap,
+        ...figures,
+      });
     }
   }
   return rows;
@@ -78,6 +81,23 @@
   );
 }
 
-const results = runAll();
-printTable(results);
-console.log(JSON.stringify(results));
+function runInThread(index: number): Promise<readonly ResultRow[]> {
+  return new Promise((resolve, reject) => {
+    const worker = new Worker(__filename, {argv: process.argv.slice(2), workerData: index});
+    worker.once('message', resolve);
+    worker.once('error', reject);
+  });
+}
+
+async function main(): Promise<void> {
+  const results = await Promise.all(deployments.map((_, index) => runInThread(index)));
+  printTable(results.flat());
+  console.log(JSON.stringify(results.flat()));
+}
+
+if (isMainThread) {
+  void main();
+} else {
+  const deployment = deployments[workerData as number];
+  parentPort?.postMessage(deployment === undefined ? [] : runDeployment(deployment));
+}
