Hand over slots that were in use when they were lost

Cause: a slot that was in use when its owner lost it, and that came back, was usable at once, although another entry may still use it. Ruled out: the loan path, where the loan's end already blocks the slot. Change: such a slot waits for the hand-over too; a test that failed before guards it.

--- /dev/null
+++ b/packages/steering/__tests__/slot_pool.test.ts
@@ -0,0 +1,45 @@
+import {ManualTime} from '@cuminsill/utils';
+import {makeOptions, makeService, makeTargets} from '../__fixtures__/fleets';
+import {SlotPool} from '../src';
+
+const service = makeService('s');
+const targets = makeTargets('s', 'r', 1, 2);
+const slots = [0, 1].map(slotIndex => ({targetId: 's-r-0', slotIndex}));
+
+function makePool(time: ManualTime): SlotPool {
+  let lastSlotId = 0;
+  const pool = new SlotPool(
+    service,
+    'r',
+    'e0',
+    () => (lastSlotId += 1),
+    makeOptions('e0', 'r'),
+    time,
+  );
+  pool.setTargets(service, targets);
+  pool.setOwnSlots(slots.map(slot => ({...slot, fromOther: false})));
+  return pool;
+}
+
+describe('SlotPool hand-over', () => {
+  test.each([
+    {name: 'free', busy: false},
+    {name: 'in use', busy: true},
+  ])('a slot that another entry owned meanwhile waits, also when it was $name', ({busy}) => {
+    const time = new ManualTime();
+    const pool = makePool(time);
+    const request = {
+      trafficClass: 'interactive',
+      deadlineMs: time.monotonicMs() + 60_000,
+      excludedTargetIds: [],
+    } as const;
+    const used = busy ? [pool.tryTake(request), pool.tryTake(request)] : [];
+    pool.setOwnSlots([]);
+    pool.setOwnSlots(slots.map(slot => ({...slot, fromOther: true})));
+    for (const slot of used) if (slot) pool.giveBack(slot, 'interactive', 'answered', 100);
+    time.advance(5900);
+    expect(pool.tryTake(request)).toBeUndefined();
+    time.advance(200);
+    expect(pool.tryTake(request)).toBeDefined();
+  });
+});
--- a/packages/steering/src/slot_pool.ts
+++ b/packages/steering/src/slot_pool.ts
@@ -106,6 +106,7 @@
       keys.add(key);
       const known = this.ownSlots.get(key);
       if (known !== undefined && known.target === target) {
+        if (!known.held && fromOther) this.block(known, nowMs + handOverMs);
         known.held = true;
         continue;
       }
@@ -310,7 +311,8 @@
   }
 
   private block(slot: Slot, untilMs: number): void {
-    slot.blockedUntilMs = untilMs;
+    // A slot that is lent stays so until its loan ends.
+    slot.blockedUntilMs = Math.max(slot.blockedUntilMs, untilMs);
     this.trackTimed(slot);
   }
 
