Copy requests field by field

Cause: a profile of measure:slopes showed 44% of the time in the object spread of assign. Ruled out: the choice of the target, with 3% of the time. Change: assign names the fields of the pending request.

--- a/packages/steering/src/steering.ts
+++ b/packages/steering/src/steering.ts
@@ -115,9 +115,14 @@
       return () => undefined;
     }
     const pending: PendingRequest = {
-      ...request,
+      serviceId: request.serviceId,
+      callerRegionId: request.callerRegionId,
+      trafficClass: request.trafficClass,
+      deadlineMs: request.deadlineMs,
+      excludedTargetIds: request.excludedTargetIds,
       route,
       regionId,
+      queue: undefined,
       answer: (slot, queue) => onResult(this.useSlot(slot, queue, pending)),
       refuse: onResult,
     };
