--- a/packages/cli/__fixtures__/fake_operators_api.ts
+++ b/packages/cli/__fixtures__/fake_operators_api.ts
@@ -79,6 +79,7 @@
       configVersion: 5,
       loads: [],
       shares: [],
+      sites: [],
     },
   ],
 };
--- a/packages/planner/__tests__/make_plan.test.ts
+++ b/packages/planner/__tests__/make_plan.test.ts
@@ -40,20 +40,46 @@
     },
   };
   const here = {montevideo: 1};
-  const cases: ReadonlyArray<readonly [Intent, RegExp, Configuration?]> = [
-    [route(here, {serviceId: 'prooofs'}), /serviceId: found "prooofs"; .*one of photos, proofs/],
-    [route(here, {callerRegionId: 'sur'}), /callerRegionId: found "sur"; .*este, litoral, mon/],
-    [route({montevideo: 0.5, sur: 0.5}), /shares\[1\].regionId: found "sur"; .*este, litoral/],
-    [route({este: 1}), /"este"; the region has no targets for service "proofs".*lito/, noTargets],
-    [drain('este-c'), /siteId: found "este-c"; there is no such site.*este-a, este-b, lito/],
-    [{kind: 'stop', id: 's', siteId: 'x'}, /siteId: found "x"/],
-    [route({montevideo: 0.5}), /shares: found a sum of 0.5; give shares .* add up to 1/],
-    [route(here, {maxMovedShare: 0}), /maxMovedShare: found 0; give a number above 0/],
-    [route(here, {windowS: NaN}), /windowS: found NaN; give a number of seconds/],
+  const cases: ReadonlyArray<{
+    readonly intent: Intent;
+    readonly expected: RegExp;
+    readonly configuration?: Configuration;
+  }> = [
+    {
+      intent: route(here, {serviceId: 'prooofs'}),
+      expected: /serviceId: found "prooofs"; .*one of photos, proofs/,
+    },
+    {
+      intent: route(here, {callerRegionId: 'sur'}),
+      expected: /callerRegionId: found "sur"; .*este, litoral, mon/,
+    },
+    {
+      intent: route({montevideo: 0.5, sur: 0.5}),
+      expected: /shares\[1\].regionId: found "sur"; .*este, litoral/,
+    },
+    {
+      intent: route({este: 1}),
+      expected: /"este"; the region has no targets for service "proofs".*lito/,
+      configuration: noTargets,
+    },
+    {
+      intent: drain('este-c'),
+      expected: /siteId: found "este-c"; there is no such site.*este-a, este-b, lito/,
+    },
+    {intent: {kind: 'stop', id: 's', siteId: 'x'}, expected: /siteId: found "x"/},
+    {
+      intent: route({montevideo: 0.5}),
+      expected: /shares: found a sum of 0.5; give shares .* add up to 1/,
+    },
+    {
+      intent: route(here, {maxMovedShare: 0}),
+      expected: /maxMovedShare: found 0; give a number above 0/,
+    },
+    {intent: route(here, {windowS: NaN}), expected: /windowS: found NaN; give a number of seconds/},
   ];
 
   // Guards against a plan that steers traffic to nowhere, and against an error without field, value and fix.
-  test.each(cases)('%j', (intent, expected, configuration = oneRegion) => {
+  test.each(cases)('$intent', ({intent, expected, configuration = oneRegion}) => {
     let thrown: unknown;
     try {
       plan(intent, configuration);
