--- a/packages/control/src/control_daemon.ts
+++ b/packages/control/src/control_daemon.ts
@@ -16,6 +16,7 @@
 import {Duration, Effect} from 'effect';
 import {InstanceListClient} from './instance_list_client';
 import {operatorRoutes} from './operator_routes';
+import type {ControlHealth} from './operator_server';
 import {OperatorServer} from './operator_server';
 import {OwnEntry} from './own_entry';
 import {PeerLinks} from './peer_links';
@@ -198,7 +199,7 @@
   const routes = operatorRoutes({...parts, signingKey: settings.peerKey});
   return Effect.tryPromise({
     try: async () => {
-      const server = new OperatorServer(settings, routes);
+      const server = new OperatorServer(settings, routes, () => healthOf(parts));
       await server.listen();
       return server;
     },
@@ -206,6 +207,20 @@
   });
 }
 
+function healthOf(parts: Parts): ControlHealth {
+  const configVersion = parts.configSync.current().version;
+  const leaving = parts.ownEntry.isLeaving();
+  const state = leaving ? 'leaving' : configVersion > 0 ? 'serving' : 'starting';
+  const [, ...others] = parts.membership.members();
+  return {
+    ready: state === 'serving',
+    state,
+    configVersion,
+    storeReachable: parts.storeReachable(),
+    reachablePeers: others.filter(member => member.reachability === 'reachable').length,
+  };
+}
+
 function stop(
   {settings, logger}: ControlDaemonOptions,
   parts: Parts,
--- a/packages/control/src/operator_server.ts
+++ b/packages/control/src/operator_server.ts
@@ -40,6 +40,17 @@
   readonly handle: (request: OperatorRequest) => Promise<OperatorAnswer>;
 }
 
+/** What the process says of itself without a token; holds nothing secret. */
+export interface ControlHealth {
+  /** True when a configuration is in force and the process is not stopping. */
+  readonly ready: boolean;
+  readonly state: 'starting' | 'serving' | 'leaving';
+  readonly configVersion: number;
+  readonly storeReachable: boolean;
+  /** Other instances that answer. */
+  readonly reachablePeers: number;
+}
+
 /** Serves operators. */
 export class OperatorServer {
   private readonly server: http.Server;
@@ -47,6 +58,7 @@
   constructor(
     private readonly settings: ControlSettings,
     private readonly routes: readonly OperatorRoute[],
+    private readonly health: () => ControlHealth,
   ) {
     const handler: http.RequestListener = (request, response) => {
       void this.handle(request, response);
@@ -89,7 +101,11 @@
 
   private async answer(request: http.IncomingMessage): Promise<OperatorAnswer> {
     const path = (request.url ?? '/').split('?')[0] ?? '/';
-    if (path === '/livez') return {status: 200, body: {alive: true}};
+    if (path === '/livez') return {status: 200, body: this.health()};
+    if (path === '/readyz') {
+      const health = this.health();
+      return {status: health.ready ? 200 : 503, body: health};
+    }
     const operator = this.authenticate(request);
     const candidates = this.routes.filter(route => route.path.test(path));
     const route = candidates.find(candidate => candidate.method === request.method);
--- a/packages/control/src/own_entry.ts
+++ b/packages/control/src/own_entry.ts
@@ -59,6 +59,11 @@
     this.updateState();
   }
 
+  /** True once this instance has begun to stop. */
+  isLeaving(): boolean {
+    return this.controlLeaving;
+  }
+
   /** Tells the other instances the state of this one; called when it may have changed. */
   updateState(): void {
     this.membership.setOwnState(this.currentState());
