Keep an error listener on peer connections that were given up

Found by the tests of the peer port, whose process ended with an unhandled error. Cause: the session manager of connect-node removes its error listener when it replaces or aborts a connection, and a connection that a GOAWAY has destroyed emits its error later. A request that follows on the GOAWAY of a stopping peer can therefore end a daemon. Ruled out: the server side and the test's own streams; the stack names the client session. Change: PeerSessionManager adds a listener that stays. Its test fails in both cases without the listener.

--- a/packages/protocol/src/peer_client.ts
+++ b/packages/protocol/src/peer_client.ts
@@ -3,9 +3,10 @@
 import type {DescService} from '@bufbuild/protobuf';
 import type {Client, Transport} from '@connectrpc/connect';
 import {createClient} from '@connectrpc/connect';
-import {createConnectTransport, Http2SessionManager} from '@connectrpc/connect-node';
+import {createConnectTransport} from '@connectrpc/connect-node';
 import {signingInterceptor} from './peer_key';
 import type {PeerTls} from './peer_server';
+import {PeerSessionManager} from './peer_session_manager';
 
 /** How to reach peers. */
 export interface PeerClientOptions {
@@ -23,7 +24,7 @@
 
 interface PeerLink {
   readonly transport: Transport;
-  readonly session: Http2SessionManager;
+  readonly session: PeerSessionManager;
 }
 
 const idleConnectionTimeoutMs = 60_000;
@@ -65,7 +66,7 @@
     const tls = this.options.tls;
     const scheme = tls === undefined ? 'http' : 'https';
     const baseUrl = `${scheme}://${formatHost(address.host)}:${address.port}`;
-    const session = new Http2SessionManager(
+    const session = new PeerSessionManager(
       baseUrl,
       {idleConnectionTimeoutMs},
       tls === undefined ? {} : clientTlsOptions(tls),
