Refuse to confirm plans older than ten minutes

A plan carries the loads that were measured when it was made, and its headroom and risks follow from them. The detail of result 4004 gives the age; its reason now names both causes. A repeated confirmation of a plan in force still answers its first result, whatever its age.

--- a/packages/control/src/operator_routes.ts
+++ b/packages/control/src/operator_routes.ts
@@ -111,6 +111,7 @@
     const configVersion = configSync.planVersion(plan.digest) ?? 0;
     return {status: 200, body: {state: 'accepted', configVersion, repeated: true}};
   }
+  refuseOldPlan(plan, parts.time.nowMs());
   const change = {
     ...decision,
     author: request.operator.name,
@@ -121,6 +122,18 @@
   return answerSubmitted(submitted.right);
 }
 
+/** A plan carries the loads measured when it was made, and its headroom and risks follow from them. */
+const maxPlanAgeMs = 600_000;
+
+function refuseOldPlan(plan: Plan, nowMs: number): void {
+  const ageMs = nowMs - plan.madeAtMs;
+  if (ageMs <= maxPlanAgeMs) return;
+  const detail =
+    `The plan was made ${Math.floor(ageMs / 1000)} s ago; its loads are used for at most ` +
+    `${maxPlanAgeMs / 1000} s.`;
+  throw new ResultError(resultCodes.planConflict, detail);
+}
+
 function answerSubmitted(result: SubmitResult): OperatorAnswer {
   const status = result.state === 'accepted' ? 200 : resultCodes.storedNotDistributed.httpStatus;
   return {status, body: {state: result.state, configVersion: result.version, repeated: false}};
--- a/packages/types/src/result_codes.ts
+++ b/packages/types/src/result_codes.ts
@@ -213,7 +213,7 @@
     409,
     'not-run',
     true,
-    'The configuration has changed since the plan was made. Make a new plan. Nothing was changed.',
+    'The configuration has changed since the plan was made, or the plan is too old. Make a new plan. Nothing was changed.',
   ),
   planUnsafe: define(
     4005,
