Refuse client blocks that are no IPv4 prefix

Cause: the catalog accepted any text as a prefix, and entries left such blocks out without a message, so their callers counted as callers of an unknown region. Ruled out: a check in the schema of the catalog, because it also decodes configurations that are stored already.

--- a/packages/control/src/check_catalog.ts
+++ b/packages/control/src/check_catalog.ts
@@ -1,4 +1,5 @@
 /** Checks that a catalog refers only to what it defines, and defines nothing twice. */
+import {isIPv4} from 'node:net';
 import type {Catalog} from '@cuminsill/types';
 import type {FieldProblem} from '@cuminsill/validation';
 import {InvalidDataError} from '@cuminsill/validation';
@@ -11,6 +12,7 @@
     ...duplicates('services', catalog.services),
     ...duplicates('targets', catalog.targets),
     ...unknownReferences(catalog),
+    ...wrongPrefixes(catalog),
   ];
   if (problems.length > 0) throw new InvalidDataError('catalog', problems);
 }
@@ -28,6 +30,20 @@
   });
 }
 
+/** Entries match callers by IPv4 blocks only; they would ignore any other prefix without a message. */
+function wrongPrefixes(catalog: Catalog): readonly FieldProblem[] {
+  return catalog.clientBlocks.flatMap(({prefix}, index) => {
+    if (isIPv4Prefix(prefix)) return [];
+    const fix = 'use an IP prefix of IPv4, for example 10.1.0.0/16';
+    return [{field: `clientBlocks[${index}].prefix`, value: prefix, fix}];
+  });
+}
+
+function isIPv4Prefix(prefix: string): boolean {
+  const [address = '', bits = '32', ...rest] = prefix.split('/');
+  return isIPv4(address) && /^\d{1,2}$/.test(bits) && Number(bits) <= 32 && rest.length === 0;
+}
+
 interface Reference {
   readonly field: string;
   readonly value: string;
