Test the operators' API and the peer port of the control daemon

Jest no longer cleans up globals: Effect keeps its current fiber there, and the wrapped properties overflowed the stack when that fiber ran on.

--- a/jest.config.js
+++ b/jest.config.js
@@ -10,6 +10,8 @@
   moduleNameMapper: {
     '^@cuminsill/([a-z_]+)$': '<rootDir>/packages/$1/src/index.ts',
   },
+  // Effect keeps the current fiber on the global scope; the cleanup would wrap its properties while it still runs.
+  testEnvironmentOptions: {globalsCleanup: 'off'},
   transform: {
     '^.+\\.ts$': [
       '@swc/jest',
--- /dev/null
+++ b/packages/control/__fixtures__/control_fixture.ts
@@ -0,0 +1,167 @@
+/** One control daemon in this process, with a stand-in store. */
+import {createHash} from 'node:crypto';
+import * as http from 'node:http';
+import * as https from 'node:https';
+import {silentLogger, silentMetrics} from '@cuminsill/logger';
+import type {Logger} from '@cuminsill/logger';
+import type {RunningServer} from '@cuminsill/standins';
+import {
+  findFreePorts,
+  MemoryStore,
+  ownLoopbackAddress,
+  startStoreServer,
+} from '@cuminsill/standins';
+import type {Catalog, ErrorBody, Plan} from '@cuminsill/types';
+import type {ControlSettings} from '@cuminsill/validation';
+import {ControlSettingsSchema, decodeOrThrow} from '@cuminsill/validation';
+import {Effect, Exit, Scope} from 'effect';
+import type {ControlDaemon} from '../src';
+import {startControl} from '../src';
+
+/** Key of the daemon. */
+export const peerKey = 'control-tests-peer-key';
+
+/** Tokens of the daemon's operators. */
+export const tokens = {operator: 'control-tests-operator', viewer: 'control-tests-viewer'} as const;
+
+/** A catalog with two regions and one service. */
+export const catalog: Catalog = {
+  regions: [
+    {id: 'north', name: 'North'},
+    {id: 'south', name: 'South'},
+  ],
+  failureDomains: [
+    {id: 'north-1', regionId: 'north'},
+    {id: 'south-1', regionId: 'south'},
+  ],
+  links: [{fromRegionId: 'north', toRegionId: 'south', oneWayLatencyMs: 10}],
+  services: [
+    {
+      id: 'reads',
+      trafficClass: 'interactive',
+      idempotency: 'idempotent',
+      defaultTimeoutMs: 5000,
+      notRunStatuses: [503],
+      expectedServiceMs: 10,
+    },
+  ],
+  targets: ['north', 'south'].map((regionId, index) => ({
+    id: `reads-${regionId}`,
+    serviceId: 'reads',
+    siteId: `${regionId}-site`,
+    regionId,
+    failureDomainId: `${regionId}-1`,
+    address: {host: '127.0.0.1', port: 9 + index},
+    slots: 4,
+    maxConnections: 100,
+  })),
+  clientBlocks: [{prefix: '127.1.0.0/16', regionId: 'north'}],
+  demands: [{serviceId: 'reads', callerRegionId: 'north', requestsPerS: 1}],
+};
+
+/** What a request to the operators' API is made of. */
+export interface ApiRequest {
+  readonly method?: string;
+  readonly path: string;
+  /** Bearer token; undefined sends none. */
+  readonly token?: string;
+  /** Sent as JSON unless it is text or bytes. */
+  readonly body?: unknown;
+}
+
+/** An answer of the operators' API. */
+export interface ApiAnswer {
+  readonly status: number;
+  readonly body: Partial<ErrorBody> & Record<string, unknown>;
+}
+
+/** A control daemon that runs. */
+export class ControlFixture {
+  readonly store = new MemoryStore();
+  private readonly scope = Effect.runSync(Scope.make());
+  private storeServer: RunningServer | undefined;
+  private daemon: ControlDaemon | undefined;
+  private checked: ControlSettings | undefined;
+
+  /** Starts the store and the daemon. Rejects when the daemon does not start. */
+  async start(settings: object = {}, logger: Logger = silentLogger): Promise<void> {
+    const host = ownLoopbackAddress();
+    this.storeServer = await startStoreServer(this.store, host, 0);
+    const ports = await findFreePorts(host, 4);
+    const [callers, entryPeers, peers, operators] = ports.map(port => ({host, port}));
+    this.checked = decodeOrThrow('settings', ControlSettingsSchema, {
+      instance: {id: 'instance-1', regionId: 'north', failureDomainId: 'north-1'},
+      callers,
+      entryPeers,
+      peers,
+      operators,
+      store: this.storeServer.address,
+      peerKey,
+      operatorTokens: (['operator', 'viewer'] as const).map(role => ({
+        name: role,
+        role,
+        tokenSha256: createHash('sha256').update(tokens[role]).digest('hex'),
+      })),
+      stopMarginS: 0,
+      ...settings,
+    });
+    const started = startControl({settings: this.checked, logger, metrics: silentMetrics});
+    this.daemon = await Effect.runPromise(started.pipe(Scope.extend(this.scope)));
+  }
+
+  /** The daemon's settings. */
+  get settings(): ControlSettings {
+    return this.checked as ControlSettings;
+  }
+
+  /** Stops the daemon and the store. */
+  async stop(): Promise<void> {
+    if (this.daemon !== undefined) await Effect.runPromise(this.daemon.stop);
+    await Effect.runPromise(Scope.close(this.scope, Exit.void));
+    await this.storeServer?.close();
+  }
+
+  /** Sends a request to the operators' API. Rejects when the connection ends without an answer. */
+  async ask(request: ApiRequest, tls?: https.RequestOptions): Promise<ApiAnswer> {
+    const {method = 'GET', path, token, body} = request;
+    const options = {
+      ...this.settings.operators,
+      method,
+      path,
+      agent: false,
+      headers: token === undefined ? {} : {authorization: `Bearer ${token}`},
+      ...tls,
+    } as const;
+    return new Promise((resolve, reject) => {
+      const sent = tls === undefined ? http.request(options) : https.request(options);
+      sent.on('error', reject);
+      sent.on('response', response => {
+        const chunks: Buffer[] = [];
+        response.on('data', (chunk: Buffer) => chunks.push(chunk));
+        response.on('error', reject);
+        response.on('end', () =>
+          resolve({
+            status: response.statusCode ?? 0,
+            body: JSON.parse(Buffer.concat(chunks).toString('utf8')) as ApiAnswer['body'],
+          }),
+        );
+      });
+      const isRaw = typeof body === 'string' || body instanceof Uint8Array;
+      sent.end(isRaw || body === undefined ? body : JSON.stringify(body));
+    });
+  }
+
+  /** Asks for a plan as the operator and expects it. */
+  async plan(body: unknown): Promise<Plan> {
+    const token = tokens.operator;
+    const answer = await this.ask({method: 'POST', path: '/v1/plans', token, body});
+    if (answer.status !== 200) throw new Error(JSON.stringify(answer.body));
+    return answer.body as unknown as Plan;
+  }
+
+  /** Confirms a plan as the operator. */
+  confirm(plan: unknown): Promise<ApiAnswer> {
+    const token = tokens.operator;
+    return this.ask({method: 'POST', path: '/v1/plans/confirm', token, body: {plan}});
+  }
+}
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -2,6 +2,7 @@
 export * from './caller';
 export * from './deployment';
 export * from './example_files';
+export * from './free_ports';
 export * from './http_exchange';
 export * from './http_tools';
 export * from './instance_list_server';
--- a/packages/system_tests/src/index.ts
+++ b/packages/system_tests/src/index.ts
@@ -1,6 +1,5 @@
 /** Helpers of the tests with real processes. */
 export * from './daemon_process';
-export * from './free_ports';
 export * from './operator_client';
 export * from './system_callers';
 export * from './system_harness';
--- a/packages/system_tests/src/system_harness.ts
+++ b/packages/system_tests/src/system_harness.ts
@@ -6,7 +6,9 @@
 import {shardOfKey} from '@cuminsill/claims';
 import type {EntrySettingsFile, ControlSettingsFile, RunningServer} from '@cuminsill/standins';
 import {
+  findFreePorts,
   InstanceList,
+  ownLoopbackAddress,
   jsonBody,
   MemoryStore,
   startInstanceListServer,
@@ -18,7 +20,6 @@
 import {ownerByRendezvous, systemTime} from '@cuminsill/utils';
 import type {DaemonName} from './daemon_process';
 import {DaemonProcess} from './daemon_process';
-import {findFreePorts, ownLoopbackAddress} from './free_ports';
 import {askPlan, askStatus, confirmPlan} from './operator_client';
 import {sendTo} from './system_callers';
 import type {TestDeployment} from './test_deployment';
