Check TLS files before a daemon listens

Certificates, keys and authorities must be readable and each key must fit its certificate; otherwise the daemon stops with exit code 2 and an error that names the field, the value and the fix, and no part of a file.

--- a/packages/daemon/src/run_daemon.ts
+++ b/packages/daemon/src/run_daemon.ts
@@ -6,13 +6,14 @@
 import type {Logger, Metrics} from '@cuminsill/logger';
 import {createLogger, createMetrics, silentMetrics} from '@cuminsill/logger';
 import type {LogLevel} from '@cuminsill/logger';
-import {InvalidDataError, loadSettings} from '@cuminsill/validation';
+import type {SettingsWithTls} from '@cuminsill/validation';
+import {checkTlsFiles, InvalidDataError, loadSettings} from '@cuminsill/validation';
 import {Command} from 'commander';
 import type {Schema, Scope} from 'effect';
 import {Effect, Exit} from 'effect';
 
 /** Settings that every daemon has. */
-export interface DaemonSettings {
+export interface DaemonSettings extends SettingsWithTls {
   readonly instance: {readonly id: string};
   readonly log: {readonly level: LogLevel};
   readonly metrics?: {
@@ -70,12 +71,14 @@
   process.exit(await runUntilStopped(program, settings));
 }
 
-function readSettings<Settings, Encoded>(
+function readSettings<Settings extends DaemonSettings, Encoded>(
   file: string,
   schema: Schema.Schema<Settings, Encoded>,
 ): Settings {
   try {
-    return loadSettings(file, schema);
+    const settings = loadSettings(file, schema);
+    checkTlsFiles(file, settings);
+    return settings;
   } catch (error) {
     if (!(error instanceof InvalidDataError)) throw error;
     process.stderr.write(`${error.message}\n`);
--- a/packages/validation/src/index.ts
+++ b/packages/validation/src/index.ts
@@ -4,3 +4,4 @@
 export * from './fields';
 export * from './settings';
 export * from './operator_schemas';
+export * from './tls_files';
