Survive malformed requests on a connection with a request in flight

Found by fuzzing the callers' port. Cause: the refusal of a malformed request was a ServerResponse of its own, and assigning it to a connection that an earlier response still held threw, which ended the process; any caller could do that with two pipelined requests. Ruled out: the responses in flight alone; the responses that Node makes itself hold the connection too. Change: the refusal is written as bytes, after the answers to whole requests before it; a malformed body closes the connection. A missing host and an unknown expectation, which Node refused without a body, get a numbered refusal.

--- a/packages/entry/src/caller_server.ts
+++ b/packages/entry/src/caller_server.ts
@@ -16,7 +16,7 @@
 import type {EntryView} from './entry_view';
 import type {Forwarder} from './forwarder';
 import type {Refusals} from './refusals';
-import {writeError} from './refusals';
+import {refuseMalformed} from './refuse_malformed';
 
 /** What the callers' port works with. */
 export interface CallerServerParts {
@@ -50,6 +50,8 @@
   private inFlight = 0;
   private closing = false;
   private readonly open = new Set<http.ServerResponse>();
+  /** The response that was begun last on each connection. */
+  private readonly lastResponses = new WeakMap<Socket, http.ServerResponse>();
 
   constructor(private readonly parts: CallerServerParts) {
     const {settings} = parts;
@@ -68,12 +70,19 @@
         keepAliveTimeout: settings.keepAliveTimeoutMs,
         // Bodies of uploads may take as long as the request's own deadline.
         requestTimeout: 0,
+        // Node would refuse a missing host without a numbered result; `handle` checks it.
+        requireHostHeader: false,
       },
       (request, response) => this.handle(request, response),
     );
     this.server.maxConnections = Math.ceil(settings.maxConnections * refusedConnectionAllowance);
     this.server.on('connection', socket => this.countConnection(socket));
-    this.server.on('clientError', (error, socket) => refuseMalformed(error, socket as Socket));
+    this.server.on('checkExpectation', (request, response) => {
+      this.refuseHead(request, response, 'send no other expectation than 100-continue');
+    });
+    this.server.on('clientError', (error, socket) => {
+      refuseMalformed(error, socket as Socket, this.lastResponses.get(socket as Socket));
+    });
   }
 
   /** Starts to listen. Rejects when the address is taken. */
@@ -113,6 +122,7 @@
 
   private track(response: http.ServerResponse): void {
     this.open.add(response);
+    this.lastResponses.set(response.req.socket, response);
     if (this.parts.state() === 'leaving') response.shouldKeepAlive = false;
     response.once('close', () => {
       this.open.delete(response);
@@ -130,6 +140,10 @@
       this.refuse(request, response, new ResultError(resultCodes.connectionLimit));
       return;
     }
+    if (request.headers.host === undefined && request.httpVersion === '1.1') {
+      this.refuseHead(request, response, 'send a host header');
+      return;
+    }
     if (route === undefined) {
       const detail = 'Fix: use /v1/lookup, /v1/outcomes/<key> or /svc/<service>/<path>.';
       this.refuse(request, response, new ResultError(resultCodes.notFound, detail));
@@ -269,6 +283,15 @@
     if (!request.readableEnded) request.resume();
   }
 
+  private refuseHead(
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+    fix: string,
+  ): void {
+    response.shouldKeepAlive = false;
+    this.refuse(request, response, new ResultError(resultCodes.malformedRequest, `Fix: ${fix}.`));
+  }
+
   private countRefusal(result: ResultCode, serviceId: string): void {
     const known = this.parts.view.contracts.has(serviceId) ? serviceId : 'none';
     this.parts.metrics.count('requests.refused', 1, {code: String(result.code), service: known});
@@ -300,18 +323,6 @@
   response.end(bytes);
 }
 
-function refuseMalformed(error: Error & {readonly code?: string}, socket: Socket): void {
-  if (error.code === 'ECONNRESET' || !socket.writable) {
-    socket.destroy();
-    return;
-  }
-  const response = new http.ServerResponse(new http.IncomingMessage(socket));
-  response.assignSocket(socket);
-  response.setHeader('connection', 'close');
-  response.on('finish', () => socket.destroySoon());
-  writeError(response, new ResultError(resultCodes.malformedRequest), undefined, undefined);
-}
-
 function queryValue(url: string, name: string): string | undefined {
   const start = url.indexOf('?');
   if (start < 0) return undefined;
