--- a/packages/system_tests/src/index.ts
+++ b/packages/system_tests/src/index.ts
@@ -1,5 +1,6 @@
 /** Helpers of the tests with real processes. */
 export * from './daemon_process';
+export * from './fuzz_settings';
 export * from './operator_client';
 export * from './system_callers';
 export * from './system_harness';
