Report a wrong optional setting once

An optional field with a wrong value was reported twice, the second time as "Expected undefined", which is no fix. problemsOf leaves that line out when the same field, or a field inside it, has a problem of its own. Three cases in decode.test.ts; the one with a wrong optional object failed with the first version of this change, which compared only equal fields.

--- a/packages/validation/src/decode.ts
+++ b/packages/validation/src/decode.ts
@@ -31,6 +31,8 @@
 }
 
 const longestShownValue = 80;
+/** An optional field that is wrong is reported a second time, because it could also have been left out. */
+const absentFixPrefix = 'Expected undefined,';
 const secretFieldPattern = /(secret|token|key|password)$/i;
 
 /** Decodes a value that must match the schema exactly; unknown fields are refused. Throws InvalidDataError. */
@@ -63,10 +65,19 @@
 
 function problemsOf(error: ParseResult.ParseError, data: unknown): readonly FieldProblem[] {
   const issues = ParseResult.ArrayFormatter.formatErrorSync(error);
-  return issues.map(issue => {
+  const problems = issues.map(issue => {
     const field = formatPath(issue.path);
     return {field, value: describeValue(field, valueAt(data, issue.path)), fix: issue.message};
   });
+  return problems.filter(
+    problem =>
+      !problem.fix.startsWith(absentFixPrefix) ||
+      problems.every(other => other === problem || !isWithin(other.field, problem.field)),
+  );
+}
+
+function isWithin(field: string, outer: string): boolean {
+  return field === outer || field.startsWith(`${outer}.`) || field.startsWith(`${outer}[`);
 }
 
 function formatPath(path: readonly PropertyKey[]): string {
