--- a/packages/loadtool/src/bench_instance.ts
+++ b/packages/loadtool/src/bench_instance.ts
@@ -136,12 +136,13 @@
   const operatorAddress = {host, port: firstPort + 3};
   const commands = writeDaemonSettings(directory, {
     instance,
-    instances: [instance],
-    operatorAddress,
-    storeAddress: standins.ready['store'] as SocketAddress,
-    instanceListAddress: standins.ready['instanceList'] as SocketAddress,
-    operatorToken,
-    sharedKey: 'bench-shared-key-0123456789abcdef',
+    deployment: {instances: [instance], operatorPorts: [operatorAddress.port]},
+    surroundings: {
+      store: standins.ready['store'] as SocketAddress,
+      instanceList: standins.ready['instanceList'] as SocketAddress,
+      operatorToken,
+      peerKey: 'bench-shared-key-0123456789abcdef',
+    },
   });
   const control = await RunningChild.start(commands.control);
   const entry = await RunningChild.start(commands.entry);
--- a/packages/loadtool/src/demo/demo_fleet.ts
+++ b/packages/loadtool/src/demo/demo_fleet.ts
@@ -10,7 +10,7 @@
 
 const host = '127.0.0.1';
 const operatorToken = 'demo-operator-token';
-const sharedKey = 'demo-shared-key-0123456789abcdef';
+const peerKey = 'demo-shared-key-0123456789abcdef';
 
 /** Processes of a deployment that are ready. */
 export class DemoFleet {
@@ -30,15 +30,16 @@
       file: join(__dirname, '../../../standins/dist/bin/standins.js'),
       args: ['--settings', join(directory, 'standins.json')],
     });
-    const commands = deployment.instances.map((instance, index) =>
+    const commands = deployment.instances.map(instance =>
       writeDaemonSettings(directory, {
         instance,
-        instances: deployment.instances,
-        operatorAddress: {host, port: deployment.operatorPorts[index] ?? 0},
-        storeAddress: standins.ready['store'] as SocketAddress,
-        instanceListAddress: standins.ready['instanceList'] as SocketAddress,
-        operatorToken,
-        sharedKey,
+        deployment,
+        surroundings: {
+          store: standins.ready['store'] as SocketAddress,
+          instanceList: standins.ready['instanceList'] as SocketAddress,
+          operatorToken,
+          peerKey,
+        },
       }),
     );
     const started: RunningChild[] = [standins];
--- a/packages/standins/src/example_files.ts
+++ b/packages/standins/src/example_files.ts
@@ -1,6 +1,8 @@
 /** Files of an example deployment, as they are kept under `examples/`. */
 import type {Deployment, DeploymentName} from './deployment';
 import {makeDeployment} from './deployment';
+import {controlSettingsFor, entrySettingsFor} from './instance_settings';
+import type {InstanceSurroundings} from './instance_settings';
 import type {StandinSettings} from './settings';
 
 /** One file with its content. */
@@ -42,6 +44,32 @@
   };
 }
 
+/** Key and tokens of the example settings; a real deployment uses its own. */
+const exampleSecrets = {
+  peerKey: 'example-peer-key-0123456789abcdef',
+  operatorToken: 'example-operator-token',
+  viewerToken: 'example-viewer-token',
+};
+
+/** What the instances of an example deployment share when its stand-ins run with their example settings. */
+export function exampleSurroundings(name: DeploymentName): InstanceSurroundings {
+  const {host, storePort, instanceListPort} = standinSettings(name);
+  return {
+    ...exampleSecrets,
+    store: {host, port: storePort},
+    instanceList: {host, port: instanceListPort},
+  };
+}
+
+/** Settings of both daemons of the first instance. */
+function daemonSettings(deployment: Deployment): ReadonlyArray<readonly [string, unknown]> {
+  const surroundings = exampleSurroundings(deployment.name);
+  return deployment.instances.slice(0, 1).flatMap(instance => [
+    ['entry.json', entrySettingsFor(instance, surroundings)],
+    ['control.json', controlSettingsFor(deployment, instance, surroundings)],
+  ]);
+}
+
 /** All files of one example deployment. */
 export function exampleFiles(name: DeploymentName): readonly ExampleFile[] {
   const deployment: Deployment = makeDeployment(name);
@@ -50,6 +78,7 @@
     ['instances.json', deployment.instances],
     ['standins.json', standinSettings(name)],
     ['load.json', loadSettings(deployment)],
+    ...daemonSettings(deployment),
   ];
   return contents.map(([file, content]) => ({
     name: file,
--- a/packages/standins/src/instance_settings.ts
+++ b/packages/standins/src/instance_settings.ts
@@ -18,10 +18,13 @@
   readonly peerKey: string;
   /** Token of the operator called `operator`. */
   readonly operatorToken: string;
-  /** Token of the operator called `viewer`, who may only read. */
-  readonly viewerToken: string;
+  /** Token of the operator called `viewer`, who may only read; without it there is no such operator. */
+  readonly viewerToken?: string;
 }
 
+/** The part of a deployment that the settings of its instances are made from. */
+export type DeploymentInstances = Pick<Deployment, 'instances' | 'operatorPorts'>;
+
 /** Peers of the first instances of a deployment are enough to find all others. */
 const seedInstances = 3;
 
@@ -41,7 +44,7 @@
 
 /** Settings of the control process of one instance. */
 export function controlSettingsFor(
-  deployment: Deployment,
+  deployment: DeploymentInstances,
   instance: Instance,
   surroundings: InstanceSurroundings,
 ): ControlSettingsFile {
@@ -54,15 +57,28 @@
     operators: {host: instance.callerAddress.host, port: deployment.operatorPorts[index] ?? 0},
     store: surroundings.store,
     instanceList: surroundings.instanceList,
-    seeds: deployment.instances.slice(0, seedInstances).map(seed => seed.controlPeerAddress),
+    seeds: deployment.instances
+      .filter(other => other.id !== instance.id)
+      .slice(0, seedInstances)
+      .map(seed => seed.controlPeerAddress),
     peerKey: surroundings.peerKey,
-    operatorTokens: [
-      {name: 'operator', role: 'operator', tokenSha256: sha256(surroundings.operatorToken)},
-      {name: 'viewer', role: 'viewer', tokenSha256: sha256(surroundings.viewerToken)},
-    ],
+    operatorTokens: operatorTokensOf(surroundings),
   };
 }
 
+function operatorTokensOf({
+  operatorToken,
+  viewerToken,
+}: InstanceSurroundings): NonNullable<ControlSettingsFile['operatorTokens']> {
+  const operator = {
+    name: 'operator',
+    role: 'operator',
+    tokenSha256: sha256(operatorToken),
+  } as const;
+  if (viewerToken === undefined) return [operator];
+  return [operator, {name: 'viewer', role: 'viewer', tokenSha256: sha256(viewerToken)}];
+}
+
 function identityOf(instance: Instance) {
   return {
     id: instance.id,
