--- a/packages/control/src/control_daemon.ts
+++ b/packages/control/src/control_daemon.ts
@@ -14,7 +14,9 @@
 import type {ControlSettings} from '@cuminsill/validation';
 import type {Scope} from 'effect';
 import {Duration, Effect} from 'effect';
+import {meteredClaims, reportControlGauges} from './control_metrics';
 import {InstanceListClient} from './instance_list_client';
+import {meteredStore} from './metered_store';
 import {operatorRoutes} from './operator_routes';
 import {OperatorServer} from './operator_server';
 import {OwnEntry} from './own_entry';
@@ -49,6 +51,7 @@
     const parts = yield* makeParts(options);
     yield* Effect.forkScoped(parts.instanceList.run());
     yield* Effect.forkScoped(keepStateTrue(parts));
+    yield* Effect.forkScoped(reportControlGauges(parts));
     yield* listenForPeers(options.settings, parts);
     const operatorServer = yield* listenForOperators(options.settings, parts);
     return {stop: stop(options, parts, operatorServer)};
@@ -64,7 +67,7 @@
     const random = seededRandom(Math.floor(time.nowMs()) % 0x7fffffff);
     const clients = yield* openPeerClients(settings);
     const links = new PeerLinks(clients);
-    const store = yield* openStore(settings);
+    const store = meteredStore(yield* openStore(settings), metrics, time);
     const instanceList = new InstanceListClient(
       settings.instanceList,
       settings.instanceListIntervalS,
@@ -91,7 +94,7 @@
       metrics,
     });
     configSync.onAdopt(configuration => membership.setOwnConfigVersion(configuration.version));
-    const claims = yield* ShardedClaimAuthority.make({
+    const shards = yield* ShardedClaimAuthority.make({
       instanceId: self.id,
       store,
       time,
@@ -121,7 +124,9 @@
       time,
       membership,
       configSync,
-      claims,
+      claims: meteredClaims(shards, metrics),
+      claimCounts: () => shards.counts(),
+      metrics,
       feed,
       ownEntry,
       statusView,
--- a/packages/entry/src/call.ts
+++ b/packages/entry/src/call.ts
@@ -88,6 +88,12 @@
   return tenant;
 }
 
+/** Tenant of a request for metrics; `none` when it is missing or not valid. */
+export function tenantOrNone(request: IncomingMessage): string {
+  const tenant = request.headers['x-tenant'];
+  return typeof tenant === 'string' && tenantPattern.test(tenant) ? tenant : 'none';
+}
+
 function parseKey(request: IncomingMessage, serviceId: string, tenant: string): string | undefined {
   const key = request.headers['idempotency-key'];
   if (key === undefined) return undefined;
--- a/packages/entry/src/caller_server.ts
+++ b/packages/entry/src/caller_server.ts
@@ -12,7 +12,7 @@
 import type {TimeSource} from '@cuminsill/utils';
 import type {EntrySettings} from '@cuminsill/validation';
 import {Cause, Effect, Exit, Fiber, Option} from 'effect';
-import {operationKey, parseCall} from './call';
+import {operationKey, parseCall, tenantOrNone} from './call';
 import {trueRefusal} from './claimed_refusal';
 import type {EntryView} from './entry_view';
 import type {Forwarder} from './forwarder';
@@ -254,7 +254,7 @@
   ): void {
     const error = trueRefusal(request, cause);
     const serviceId = /^\/svc\/([^/?]{1,64})/.exec(request.url ?? '')?.[1] ?? '';
-    this.countRefusal(error.result, serviceId);
+    this.countRefusal(error.result, serviceId, request);
     this.parts.refusals.send(
       response,
       {
@@ -271,9 +271,14 @@
     if (!request.readableEnded) request.resume();
   }
 
-  private countRefusal(result: ResultCode, serviceId: string): void {
-    const known = this.parts.view.contracts.has(serviceId) ? serviceId : 'none';
-    this.parts.metrics.count('requests.refused', 1, {code: String(result.code), service: known});
+  private countRefusal(result: ResultCode, serviceId: string, request: http.IncomingMessage): void {
+    const contract = this.parts.view.contracts.get(serviceId);
+    this.parts.metrics.count('requests.refused', 1, {
+      code: String(result.code),
+      service: contract?.id ?? 'none',
+      class: contract?.trafficClass ?? 'none',
+      tenant: tenantOrNone(request),
+    });
   }
 
   private callerRegionOf(request: http.IncomingMessage): string {
--- a/packages/entry/src/entry_daemon.ts
+++ b/packages/entry/src/entry_daemon.ts
@@ -4,6 +4,7 @@
  */
 import type {Scope} from 'effect';
 import {Duration, Effect, FiberSet} from 'effect';
+import {reportEntryGauges} from './entry_metrics';
 import type {EntryDaemonOptions, EntryParts} from './entry_parts';
 import {makeEntryParts} from './entry_parts';
 
@@ -31,6 +32,7 @@
     yield* Effect.forkScoped(parts.controlLink.report());
     yield* Effect.forkScoped(parts.prober.run());
     yield* Effect.forkScoped(tick(parts));
+    yield* Effect.forkScoped(reportEntryGauges(parts));
     return {stop: stop(options, parts)};
   });
 }
@@ -39,11 +41,6 @@
   return Effect.sync(() => {
     parts.steering.updateContactAge(parts.controlLink.currentContactAgeMs());
     parts.steering.tick();
-    for (const load of parts.steering.loads()) {
-      const tags = {service: load.serviceId, region: load.targetRegionId};
-      parts.metrics.gauge('slots.in_flight', load.inFlight, tags);
-      parts.metrics.gauge('queue.waiting', load.queued, tags);
-    }
   }).pipe(Effect.zipRight(Effect.sleep(Duration.millis(tickIntervalMs))), Effect.forever);
 }
 
--- a/packages/entry/src/entry_parts.ts
+++ b/packages/entry/src/entry_parts.ts
@@ -1,6 +1,7 @@
 /** The parts of an entry process and how they are connected. */
 import {ClaimSession, shardOfKey} from '@cuminsill/claims';
 import type {Logger, Metrics} from '@cuminsill/logger';
+import {boundTag} from '@cuminsill/logger';
 import type {PeerServer} from '@cuminsill/protocol';
 import {PeerClients, SlotService, startPeerServer} from '@cuminsill/protocol';
 import {HedgeBudget, PoisonGuard, RetryBudget, Steering} from '@cuminsill/steering';
@@ -34,6 +35,7 @@
 /** The parts of a running entry process. */
 export interface EntryParts {
   readonly lifecycle: Lifecycle;
+  readonly view: EntryView;
   readonly steering: Steering;
   readonly controlLink: ControlLink;
   readonly prober: TargetProber;
@@ -54,6 +56,8 @@
 
 const peerCallTimeoutMs = 3000;
 const lateWaitMs = 60_000;
+/** Tenant names come from callers; each is a series at the receiver of the metrics. */
+const maxTenantTags = 200;
 const recentRefusalsReported = 64;
 const time = systemTime;
 
@@ -89,6 +93,7 @@
   ).pipe(
     Effect.map(clients => ({
       ...options,
+      metrics: boundTag(options.metrics, 'tenant', maxTenantTags),
       clients,
       lifecycle: {state: 'serving' as const},
       view: new EntryView(settings.instance.regionId, settings.lookupTtlS),
@@ -99,9 +104,9 @@
   );
 }
 
-function connectSlotExchange({settings, view, clients, steering}: Basis): SlotExchange {
+function connectSlotExchange({settings, view, clients, steering, metrics}: Basis): SlotExchange {
   const instanceId = settings.instance.id;
-  const exchange = new SlotExchange({instanceId, view, clients, time, steering});
+  const exchange = new SlotExchange({instanceId, view, clients, time, steering, metrics});
   steering.connectPeers({
     borrow: (serviceId, regionId, wanted) => exchange.borrow(serviceId, regionId, wanted),
     returnLoans: (lenderId, loanIds) => exchange.giveBack(lenderId, loanIds),
--- a/packages/entry/src/slot_exchange.ts
+++ b/packages/entry/src/slot_exchange.ts
@@ -1,5 +1,6 @@
 /** Loans of slots between entries: the server side of `SlotService` and the calls to peers. */
 import type {ServiceImpl} from '@connectrpc/connect';
+import type {Metrics} from '@cuminsill/logger';
 import type {PeerClients} from '@cuminsill/protocol';
 import {SlotService} from '@cuminsill/protocol';
 import type {SteeringDecisions} from '@cuminsill/steering';
@@ -15,6 +16,7 @@
   readonly clients: PeerClients;
   readonly time: TimeSource;
   readonly steering: SteeringDecisions;
+  readonly metrics: Metrics;
 }
 
 /** Peers that are asked before the borrower gives up until its next attempt. */
@@ -50,16 +52,18 @@
   /** The server side. */
   service(): ServiceImpl<typeof SlotService> {
     return {
-      borrow: request => ({
-        loans: this.parts.steering
-          .lendSlots(
-            request.borrowerInstanceId,
-            request.serviceId,
-            request.targetRegionId,
-            request.wantedSlots,
-          )
-          .map(loan => ({...loan})),
-      }),
+      borrow: request => {
+        const {serviceId, targetRegionId} = request;
+        const loans = this.parts.steering.lendSlots(
+          request.borrowerInstanceId,
+          serviceId,
+          targetRegionId,
+          request.wantedSlots,
+        );
+        const tags = {service: serviceId, region: targetRegionId};
+        if (loans.length > 0) this.parts.metrics.count('slots.lent', loans.length, tags);
+        return {loans: loans.map(loan => ({...loan}))};
+      },
       return: request => {
         this.parts.steering.takeBackLoans(request.loanIds);
         return {};
@@ -85,7 +89,7 @@
     targetRegionId: string,
     wantedSlots: number,
   ): Promise<number> {
-    const {clients, view, instanceId, time} = this.parts;
+    const {clients, view, instanceId, time, metrics} = this.parts;
     const askedAtMs = time.monotonicMs();
     try {
       const reply = await clients.of(SlotService, peer.instance.entryPeerAddress).borrow({
@@ -95,6 +99,8 @@
         wantedSlots,
         configVersion: BigInt(view.configuration.version),
       });
+      const tags = {service: serviceId, region: targetRegionId};
+      if (reply.loans.length > 0) metrics.count('slots.borrowed', reply.loans.length, tags);
       this.parts.steering.acceptLoans(peer.instance.id, reply.loans, askedAtMs);
       return reply.loans.length;
     } catch {
--- a/packages/entry/src/try_targets.ts
+++ b/packages/entry/src/try_targets.ts
@@ -74,6 +74,7 @@
       noteLostTarget(parts, flight, assignment, end);
       const refusal = refusalAfter(parts, flight, end, result, progress);
       if (refusal !== undefined) return yield* Effect.fail(new AttemptsFailed(refusal, late));
+      parts.metrics.count('retries.sent', 1, {service: flight.call.contract.id, after: result});
     }
   });
 }
--- a/packages/steering/src/route_state.ts
+++ b/packages/steering/src/route_state.ts
@@ -6,6 +6,14 @@
 import type {EffectiveRoute} from './routes';
 import {ShareRamp} from './share_ramp';
 
+/** Moved share of one route at one entry. */
+export interface RouteMovedShare {
+  readonly serviceId: string;
+  readonly callerRegionId: string;
+  readonly movedShare: number;
+  readonly maxMovedShare: number;
+}
+
 /** One service and caller region at one entry. */
 export class RouteState {
   private readonly ramp: ShareRamp;
@@ -48,6 +56,13 @@
     this.budget.spend();
   }
 
+  /** Share that the ramp has moved within the window, and its cap. */
+  movedShare(): RouteMovedShare {
+    const {serviceId, callerRegionId, limit} = this.route;
+    const {rampMoved: movedShare} = this;
+    return {serviceId, callerRegionId, movedShare, maxMovedShare: limit.maxMovedShare};
+  }
+
   /** Shares in force. */
   appliedShares(): readonly AppliedShare[] {
     const {serviceId, callerRegionId} = this.route;
--- a/packages/steering/src/steering.ts
+++ b/packages/steering/src/steering.ts
@@ -19,6 +19,7 @@
 import type {PendingRequest, PoolQueue} from './pool_queue';
 import {noTargetRefusal, notReadyRefusal, unknownServiceRefusal} from './refusals';
 import {RequestPlacement} from './request_placement';
+import type {RouteMovedShare} from './route_state';
 import {RouteState} from './route_state';
 import {RouteTable} from './routes';
 import type {
@@ -201,6 +202,13 @@
     );
   }
 
+  /** Moved share of every route. */
+  movedShares(): readonly RouteMovedShare[] {
+    return [...this.routes.values()].flatMap(byRegion =>
+      [...byRegion.values()].map(route => route.movedShare()),
+    );
+  }
+
   tick(): void {
     const frozen = this.contactAge() >= this.options.freezeAfterMs;
     for (const byRegion of this.routes.values()) {
