--- a/packages/entry/src/entry_view.ts
+++ b/packages/entry/src/entry_view.ts
@@ -14,6 +14,7 @@
   contracts: ReadonlyMap<string, ServiceContract> = new Map();
   clientBlocks = new ClientBlockTable([]);
   controlConnected = false;
+  private membersById: ReadonlyMap<string, Member> = new Map();
   private latencies: ReadonlyMap<string, number> = new Map();
   /** Number of claim shards, as the control process states it. */
   claimShards = 16;
@@ -52,12 +53,13 @@
   /** Adopts a list of members. */
   adoptMembers(members: readonly Member[]): void {
     this.members = members;
+    this.membersById = new Map(members.map(member => [member.instance.id, member]));
     this.lookupAnswers.rebuild(this.configuration, this.members);
   }
 
   /** Where a member listens; undefined when it is not known or does not answer. */
   memberById(instanceId: string): Member | undefined {
-    return this.members.find(member => member.instance.id === instanceId);
+    return this.membersById.get(instanceId);
   }
 }
 
--- a/packages/entry/src/lookup_answers.ts
+++ b/packages/entry/src/lookup_answers.ts
@@ -35,19 +35,16 @@
 
   /** Prepares all answers for a new view. */
   rebuild(configuration: Configuration, members: readonly Member[]): void {
-    const usable = members.filter(
-      member => member.state === 'serving' && member.reachability !== 'unreachable',
-    );
-    this.services = new Set(configuration.catalog.services.map(service => service.id));
+    const {services, regions, links} = configuration.catalog;
+    this.services = new Set(services.map(service => service.id));
     const regionIds = new Set([
-      ...configuration.catalog.regions.map(region => region.id),
+      ...regions.map(region => region.id),
       ...members.map(member => member.instance.regionId),
     ]);
+    const groups = groupByRegion(members.filter(isUsable));
+    const latencies = new LinkLatencies(links);
     this.byRegion = new Map(
-      [...regionIds].map(regionId => [
-        regionId,
-        this.prepare(regionId, usable, configuration.catalog.links),
-      ]),
+      [...regionIds].map(regionId => [regionId, this.prepare(regionId, groups, latencies)]),
     );
   }
 
@@ -66,45 +63,131 @@
 
   private prepare(
     regionId: string,
-    usable: readonly Member[],
-    links: readonly Link[],
+    groups: ReadonlyMap<string, RegionGroup>,
+    latencies: LinkLatencies,
   ): PreparedAnswers {
-    const distance = (member: Member) => latencyMs(links, regionId, member.instance.regionId);
-    const near = usable.filter(member => member.instance.regionId === regionId);
-    const far = usable
-      .filter(member => member.instance.regionId !== regionId)
-      .sort((a, b) => distance(a) - distance(b) || (a.instance.id < b.instance.id ? -1 : 1));
-    const first = near.length > 0 ? near : nearestGroup(far, distance);
-    const rest = far.filter(member => !first.includes(member));
+    const near = groups.get(regionId)?.members ?? [];
+    const tiers = nearestTiers(regionId, groups, latencies);
+    const nearestTier = near.length > 0 ? undefined : tiers.shift();
+    const first = nearestTier === undefined ? near : nearestTier.flatMap(group => group.sorted);
+    if (nearestTier !== undefined && nearestTier.length > 1) first.sort(byId);
+    const rest = firstOfTiers(tiers);
+    // The last place goes to another region where there is one, so that an answer survives the loss of a region.
+    const places = rest.length > 0 ? instancesPerAnswer - 1 : instancesPerAnswer;
+    const kept = Math.min(places, first.length);
+    const tail = rest.slice(0, instancesPerAnswer - kept);
     const rotations = first.map((_, offset) => {
-      const rotated = [...first.slice(offset), ...first.slice(0, offset)];
-      // The last place goes to another region where there is one, so that an answer survives the loss of a region.
-      const kept = rotated.slice(0, rest.length > 0 ? instancesPerAnswer - 1 : instancesPerAnswer);
-      return this.encode([...kept, ...rest.slice(0, instancesPerAnswer - kept.length)]);
+      const rotated = Array.from(
+        {length: kept},
+        (_place, index) => first[(offset + index) % first.length] as UsableMember,
+      );
+      return this.encode([...rotated, ...tail]);
     });
     return {rotations, next: 0};
   }
 
-  private encode(members: readonly Member[]): Buffer {
-    const answer: LookupAnswer = {
-      instances: members.map(({instance}) => ({
-        instanceId: instance.id,
-        host: instance.callerAddress.host,
-        port: instance.callerAddress.port,
-      })),
-      maxAgeS: this.lookupTtlS,
-    };
-    return Buffer.from(JSON.stringify(answer));
+  private encode(members: readonly UsableMember[]): Buffer {
+    const instances = members.map(member => member.json).join(',');
+    return Buffer.from(`{"instances":[${instances}],"maxAgeS":${this.lookupTtlS}}`);
   }
 }
 
-function nearestGroup(
-  sorted: readonly Member[],
-  distance: (member: Member) => number,
-): readonly Member[] {
-  const [nearest] = sorted;
-  if (nearest === undefined) return [];
-  return sorted.filter(member => distance(member) === distance(nearest));
+/** A member that callers may be sent to, with its part of an answer. */
+interface UsableMember {
+  readonly id: string;
+  readonly regionId: string;
+  readonly json: string;
+}
+
+/** Usable members of one region. */
+interface RegionGroup {
+  readonly regionId: string;
+  /** In the order of the view. */
+  readonly members: UsableMember[];
+  /** By id. */
+  readonly sorted: readonly UsableMember[];
+}
+
+function isUsable(member: Member): boolean {
+  return member.state === 'serving' && member.reachability !== 'unreachable';
+}
+
+function byId(a: UsableMember, b: UsableMember): number {
+  return a.id < b.id ? -1 : 1;
+}
+
+function usableMember({instance}: Member): UsableMember {
+  const place: LookupInstance = {
+    instanceId: instance.id,
+    host: instance.callerAddress.host,
+    port: instance.callerAddress.port,
+  };
+  return {id: instance.id, regionId: instance.regionId, json: JSON.stringify(place)};
+}
+
+function groupByRegion(usable: readonly Member[]): ReadonlyMap<string, RegionGroup> {
+  const byRegion = new Map<string, UsableMember[]>();
+  for (const member of usable.map(usableMember)) {
+    const list = byRegion.get(member.regionId) ?? [];
+    list.push(member);
+    byRegion.set(member.regionId, list);
+  }
+  return new Map(
+    [...byRegion].map(([regionId, members]) => [
+      regionId,
+      {regionId, members, sorted: [...members].sort(byId)},
+    ]),
+  );
+}
+
+/** Other regions with usable members by latency; regions with the same latency share a tier. */
+function nearestTiers(
+  regionId: string,
+  groups: ReadonlyMap<string, RegionGroup>,
+  latencies: LinkLatencies,
+): RegionGroup[][] {
+  const tiers = new Map<number, RegionGroup[]>();
+  for (const group of groups.values()) {
+    if (group.regionId === regionId) continue;
+    const latency = latencies.between(regionId, group.regionId);
+    const tier = tiers.get(latency) ?? [];
+    tier.push(group);
+    tiers.set(latency, tier);
+  }
+  return [...tiers].sort(([a], [b]) => (a < b ? -1 : 1)).map(([, tier]) => tier);
+}
+
+/** As many members of the nearest tiers as an answer holds, by tier and id. */
+function firstOfTiers(tiers: readonly (readonly RegionGroup[])[]): readonly UsableMember[] {
+  const found: UsableMember[] = [];
+  for (const tier of tiers) {
+    if (found.length >= instancesPerAnswer) break;
+    found.push(...tier.flatMap(group => group.sorted.slice(0, instancesPerAnswer)).sort(byId));
+  }
+  return found.slice(0, instancesPerAnswer);
+}
+
+/** Latencies of all links, so that a question does not search the list of links. */
+class LinkLatencies {
+  private readonly byRegions = new Map<string, Map<string, number>>();
+
+  constructor(links: readonly Link[]) {
+    for (const {fromRegionId, toRegionId, oneWayLatencyMs} of links) {
+      this.setOnce(fromRegionId, toRegionId, oneWayLatencyMs);
+      this.setOnce(toRegionId, fromRegionId, oneWayLatencyMs);
+    }
+  }
+
+  /** One-way latency in milliseconds; infinite when no link is known. */
+  between(fromRegionId: string, toRegionId: string): number {
+    return this.byRegions.get(fromRegionId)?.get(toRegionId) ?? Number.POSITIVE_INFINITY;
+  }
+
+  private setOnce(fromRegionId: string, toRegionId: string, latency: number): void {
+    const latencies = this.byRegions.get(fromRegionId) ?? new Map<string, number>();
+    if (!latencies.has(toRegionId)) latencies.set(toRegionId, latency);
+    this.byRegions.set(fromRegionId, latencies);
+  }
 }
 
 /** One-way latency between regions in milliseconds; infinite when no link is known. */
