Report processor time per request in the bench

Rates on a shared machine vary by a factor of two between runs, so each measurement also reports the processor time of the measured process per answer. It follows short runs until that figure has settled. Direct requests are now measured at the same partial rate as forwarded ones, so that the difference of the percentiles is what the entry adds.

--- a/packages/loadtool/src/bench.ts
+++ b/packages/loadtool/src/bench.ts
@@ -3,21 +3,27 @@
  *
  * - forwarding through one entry against the same stand-in target reached directly, saturated and at 70%;
  * - look-ups of one entry against a bare http server that answers the same bytes;
- * - resident memory when idle;
+ * - processor time per answer of each measured process, because the rates depend on what else the machine runs;
+ * - resident memory and heap when idle;
  * - the ceiling of the load generator, so that it can be seen not to be the bottleneck.
  */
 import {mkdtempSync, rmSync} from 'node:fs';
-import {tmpdir} from 'node:os';
+import {loadavg, tmpdir} from 'node:os';
 import {join} from 'node:path';
 import type {SocketAddress} from '@cuminsill/types';
 import type {BenchLoadOptions, BenchLoadResult} from './bench_load';
-import type {BenchMeasurement, BenchReport, MemoryMeasurement} from './bench_report';
+import type {MemoryMeasurement} from './bench_processes';
+import {processorTimeMs} from './bench_processes';
+import type {BenchMeasurement, BenchReport, BenchSummary} from './bench_report';
 import {benchPath, benchRequestText, startBenchInstance} from './bench_instance';
 import type {BenchInstance} from './bench_instance';
 import {runInWorkers, splitLoad} from './bench_workers';
 import {RunningChild} from './child_process';
 import {missingDaemons} from './daemon_settings';
 
+/** A part of the bench that can be run alone. */
+export type BenchPart = 'lookups' | 'forwarding';
+
 /** Options of a bench. */
 export interface BenchOptions {
   readonly seed: number;
@@ -27,9 +33,23 @@
   readonly measureMs: number;
   /** Measures only what needs no daemons. */
   readonly baselineOnly: boolean;
+  /** Measures only this part; all parts when undefined. */
+  readonly only: BenchPart | undefined;
 }
 
 const partialLoadShare = 0.7;
+const warmUpRunMs = 1000;
+/** Bounds the whole bench to about a minute and a half. */
+const maxWarmUpRuns = 6;
+/** Two runs in a row within this part count as settled; processor time is counted in ticks of 1% of a run. */
+const settledDifference = 0.05;
+
+const emptySummary: BenchSummary = {
+  addedP99Ms: undefined,
+  forwardedShare: undefined,
+  lookupShare: undefined,
+  lookupCpuFactor: undefined,
+};
 
 /** Runs all measurements, one after another. */
 export async function runBench(options: BenchOptions): Promise<BenchReport> {
@@ -37,6 +57,7 @@
   const missing = missingDaemons();
   const withDaemons = !options.baselineOnly && missing.length === 0;
   const bench = new Bench(options);
+  const loadAtStart = loadavg()[0] ?? 0;
   try {
     const instance = await startBenchInstance(directory, withDaemons);
     try {
@@ -55,49 +76,71 @@
     nodeVersion: process.version,
     seed: options.seed,
     workers: options.workers,
+    loadAverages: [loadAtStart, loadavg()[0] ?? 0],
     measurements: bench.measurements,
+    summary: bench.summary,
     idleMemory: bench.idleMemory,
     skipped,
   };
 }
 
+/** What to ask, and the process whose processor time counts. */
+interface Subject {
+  readonly address: SocketAddress;
+  readonly path: string;
+  /** Undefined when several processes answer. */
+  readonly processId: number | undefined;
+}
+
 class Bench {
   readonly measurements: BenchMeasurement[] = [];
-  readonly idleMemory: MemoryMeasurement[] = [];
+  idleMemory: readonly MemoryMeasurement[] = [];
+  summary: BenchSummary = emptySummary;
 
   constructor(private readonly options: BenchOptions) {}
 
   async measureInstance(instance: BenchInstance): Promise<void> {
-    for (const child of instance.children) {
-      this.idleMemory.push({name: child.name, residentBytes: child.residentBytes()});
-    }
-    const lookupBody = instance.lookupBody;
-    await this.measureGenerator(lookupBody);
+    this.idleMemory = await instance.measureMemory();
+    const {only} = this.options;
+    if (only === undefined) await this.measureGenerator(instance.lookupBody);
+    if (only !== 'forwarding') await this.measureLookups(instance);
+    if (only !== 'lookups') await this.measureForwarding(instance);
+    this.summarise();
+  }
+
+  private async measureLookups({lookupBody, entryAddress, entryProcess}: BenchInstance) {
     await this.measureBareServer(lookupBody);
-    if (instance.entryAddress !== undefined) {
-      const path = '/v1/lookup?service=bench';
-      await this.saturate('look-ups at one entry', instance.entryAddress, path);
-    }
-    await this.measureForwarding('direct to the target', instance.targetAddress, benchPath);
-    if (instance.entryAddress !== undefined) {
-      const path = `/svc/bench${benchPath}`;
-      await this.measureForwarding('through one entry', instance.entryAddress, path);
-    }
+    if (entryAddress === undefined) return;
+    await this.saturate('look-ups at one entry', {
+      address: entryAddress,
+      path: '/v1/lookup?service=bench',
+      processId: entryProcess?.processId,
+    });
   }
 
-  private async measureForwarding(
-    name: string,
-    address: SocketAddress,
-    path: string,
-  ): Promise<void> {
-    const saturated = await this.saturate(`${name}, saturated`, address, path);
-    const ratePerS = saturated.requestsPerS * partialLoadShare;
-    if (ratePerS > 0) await this.measure(`${name}, at 70%`, address, path, ratePerS);
+  /** Latencies at 70% of the forwarded rate, both ways, so that their difference is what the entry adds. */
+  private async measureForwarding(instance: BenchInstance): Promise<void> {
+    const {targetAddress, targetProcess, entryAddress, entryProcess} = instance;
+    const direct = {address: targetAddress, path: benchPath, processId: targetProcess.processId};
+    const directRate = (await this.saturate('direct to the target, saturated', direct))
+      .requestsPerS;
+    if (entryAddress === undefined) {
+      await this.measure('direct to the target, at 70%', direct, directRate * partialLoadShare);
+      return;
+    }
+    const processId = entryProcess?.processId;
+    const forwarded = {address: entryAddress, path: `/svc/bench${benchPath}`, processId};
+    const {requestsPerS} = await this.saturate('through one entry, saturated', forwarded);
+    const ratePerS = requestsPerS * partialLoadShare;
+    if (ratePerS === 0) return;
+    await this.measure('direct to the target, at 70%', direct, ratePerS);
+    await this.measure('through one entry, at 70%', forwarded, ratePerS);
   }
 
   private async measureBareServer(body: Buffer): Promise<void> {
     const server = await startBareServer(body);
-    await this.saturate('bare http server', addressOf(server), '/');
+    const {processId} = server;
+    await this.saturate('bare http server', {address: addressOf(server), path: '/', processId});
     await server.stop();
   }
 
@@ -111,26 +154,71 @@
       address: addressOf(server),
     }));
     const result = await runInWorkers(loads);
-    this.measurements.push({name: `generator ceiling (${workers} servers)`, result});
+    const name = `generator ceiling (${workers} servers)`;
+    this.measurements.push({
+      name,
+      result,
+      cpuMsPerRequest: undefined,
+      warmUpRuns: 0,
+      settled: false,
+    });
     await Promise.all(servers.map(server => server.stop()));
   }
 
-  private saturate(name: string, address: SocketAddress, path: string): Promise<BenchLoadResult> {
-    return this.measure(name, address, path, undefined);
+  private saturate(name: string, subject: Subject): Promise<BenchLoadResult> {
+    return this.measure(name, subject, undefined);
   }
 
+  /** Measures after short runs until the processor time per answer has settled. */
   private async measure(
     name: string,
-    address: SocketAddress,
-    path: string,
+    subject: Subject,
     ratePerS: number | undefined,
   ): Promise<BenchLoadResult> {
-    const load = {...this.loadOptions(address, path), ratePerS};
-    const result = await runInWorkers(splitLoad(load, this.options.workers));
-    this.measurements.push({name, result});
+    const load = {...this.loadOptions(subject.address, subject.path), ratePerS};
+    const shortLoad = {...load, warmUpMs: 0, measureMs: warmUpRunMs};
+    let before = 0;
+    let warmUpRuns = 0;
+    let settled = false;
+    while (!settled && warmUpRuns < maxWarmUpRuns) {
+      const {cpuMsPerRequest} = await this.runOnce(shortLoad, subject.processId);
+      settled = Math.abs(cpuMsPerRequest - before) <= settledDifference * before;
+      before = cpuMsPerRequest;
+      warmUpRuns += 1;
+    }
+    const {result, cpuMsPerRequest} = await this.runOnce(load, subject.processId);
+    this.measurements.push({name, result, cpuMsPerRequest, warmUpRuns, settled});
     return result;
   }
 
+  private async runOnce(load: BenchLoadOptions, processId: number | undefined) {
+    const cpuMs = () => (processId === undefined ? 0 : processorTimeMs(processId));
+    const beforeMs = cpuMs();
+    const result = await runInWorkers(splitLoad(load, this.options.workers));
+    return {result, cpuMsPerRequest: (cpuMs() - beforeMs) / Math.max(1, result.answered)};
+  }
+
+  private summarise(): void {
+    const find = (name: string) => this.measurements.find(entry => entry.name === name);
+    const ratio = (a: number | undefined, b: number | undefined) =>
+      a === undefined || b === undefined || b === 0 ? undefined : a / b;
+    const direct = find('direct to the target, saturated');
+    const forwarded = find('through one entry, saturated');
+    const bare = find('bare http server');
+    const lookups = find('look-ups at one entry');
+    const directP99 = find('direct to the target, at 70%')?.result.p99Ms;
+    const forwardedP99 = find('through one entry, at 70%')?.result.p99Ms;
+    this.summary = {
+      addedP99Ms:
+        directP99 === undefined || forwardedP99 === undefined
+          ? undefined
+          : forwardedP99 - directP99,
+      forwardedShare: ratio(forwarded?.result.requestsPerS, direct?.result.requestsPerS),
+      lookupShare: ratio(lookups?.result.requestsPerS, bare?.result.requestsPerS),
+      lookupCpuFactor: ratio(lookups?.cpuMsPerRequest, bare?.cpuMsPerRequest),
+    };
+  }
+
   private loadOptions(address: SocketAddress, path: string): BenchLoadOptions {
     const {connections, seed, warmUpMs, measureMs} = this.options;
     const requestText = benchRequestText(path);
--- a/packages/loadtool/src/bench_instance.ts
+++ b/packages/loadtool/src/bench_instance.ts
@@ -3,7 +3,11 @@
 import {join} from 'node:path';
 import type {StandinSettings} from '@cuminsill/standins';
 import type {Catalog, Instance, SocketAddress} from '@cuminsill/types';
+import type {MemoryMeasurement} from './bench_processes';
+import {measureMemory, withMemoryReporter} from './bench_processes';
+import type {ChildCommand} from './child_process';
 import {RunningChild} from './child_process';
+import type {DaemonName} from './daemon_settings';
 import {writeDaemonSettings} from './daemon_settings';
 import {OperatorsClient, waitFor} from './operators_client';
 
@@ -64,8 +68,12 @@
   readonly entryAddress?: SocketAddress;
   /** Body of a look-up answer of the entry, or one like it. */
   readonly lookupBody: Buffer;
-  /** Processes whose memory is measured. */
-  readonly children: readonly RunningChild[];
+  /** The process that runs the target. */
+  readonly targetProcess: RunningChild;
+  /** Undefined without daemons. */
+  readonly entryProcess?: RunningChild;
+  /** Memory of the daemons; empty without them. */
+  measureMemory(): Promise<readonly MemoryMeasurement[]>;
   stop(): Promise<void>;
 }
 
@@ -87,7 +95,8 @@
     return {
       targetAddress,
       lookupBody,
-      children: [],
+      targetProcess: standins,
+      measureMemory: () => Promise.resolve([]),
       stop: async () => void (await standins.stop()),
     };
   }
@@ -97,9 +106,16 @@
     targetAddress,
     entryAddress: instance.callerAddress,
     lookupBody,
-    children: daemons,
+    targetProcess: standins,
+    entryProcess: daemons.entry,
+    measureMemory: () =>
+      Promise.all(
+        [daemons.entry, daemons.control].map(daemon =>
+          measureMemory(daemon, memoryReportFile(directory, daemon.name)),
+        ),
+      ),
     stop: async () => {
-      await Promise.all(daemons.map(daemon => daemon.stop()));
+      await Promise.all([daemons.entry.stop(), daemons.control.stop()]);
       await standins.stop();
     },
   };
@@ -132,7 +148,7 @@
 async function startDaemons(
   directory: string,
   standins: RunningChild,
-): Promise<readonly RunningChild[]> {
+): Promise<Readonly<Record<DaemonName, RunningChild>>> {
   const operatorAddress = {host, port: firstPort + 3};
   const commands = writeDaemonSettings(directory, {
     instance,
@@ -143,13 +159,19 @@
     operatorToken,
     sharedKey: 'bench-shared-key-0123456789abcdef',
   });
-  const control = await RunningChild.start(commands.control);
-  const entry = await RunningChild.start(commands.entry);
+  const start = (command: ChildCommand) =>
+    RunningChild.start(withMemoryReporter(command, memoryReportFile(directory, command.name)));
+  const control = await start(commands.control);
+  const entry = await start(commands.entry);
   const client = new OperatorsClient(operatorAddress, operatorToken);
   await waitFor('the first catalog', readyLimitMs, () =>
     client.change({action: 'put-catalog', catalog}),
   );
-  return [entry, control];
+  return {entry, control};
+}
+
+function memoryReportFile(directory: string, name: string): string {
+  return join(directory, `${name}.memory.json`);
 }
 
 async function firstLookup(): Promise<Buffer | undefined> {
--- a/packages/loadtool/src/bench_load.ts
+++ b/packages/loadtool/src/bench_load.ts
@@ -28,6 +28,8 @@
 /** What was measured. */
 export interface BenchLoadResult extends LatencySummary {
   readonly requestsPerS: number;
+  /** Answers in the whole run, also in the warm-up. */
+  readonly answered: number;
   /** Answers with another status than 200, and lost connections. */
   readonly failed: number;
 }
@@ -49,6 +51,7 @@
   private measureFromMs = 0;
   private stopAtMs = 0;
   private failed = 0;
+  private answered = 0;
 
   constructor(private readonly options: BenchLoadOptions) {
     this.requestBytes = Buffer.from(options.requestText, 'latin1');
@@ -74,7 +77,8 @@
     }
     opened.forEach(connection => connection.close());
     const summary = latencySummary(this.histogram);
-    return {...summary, requestsPerS: (summary.count * 1000) / measureMs, failed: this.failed};
+    const requestsPerS = (summary.count * 1000) / measureMs;
+    return {...summary, requestsPerS, answered: this.answered, failed: this.failed};
   }
 
   /** Polls the clock, because timers have a resolution of a millisecond. */
@@ -103,6 +107,7 @@
 
   private onAnswer(connection: BenchConnection, status: number, dueAtMs: number): void {
     const nowMs = performance.now();
+    if (status !== 0) this.answered += 1;
     if (nowMs >= this.measureFromMs && nowMs < this.stopAtMs) {
       if (status === 200) this.histogram.record(nowMs - dueAtMs);
       else this.failed += 1;
--- a/packages/loadtool/src/bench_workers.ts
+++ b/packages/loadtool/src/bench_workers.ts
@@ -34,6 +34,7 @@
   return {
     count: sum(result => result.count),
     requestsPerS: sum(result => result.requestsPerS),
+    answered: sum(result => result.answered),
     failed: sum(result => result.failed),
     p50Ms: highest(result => result.p50Ms),
     p99Ms: highest(result => result.p99Ms),
--- a/packages/loadtool/src/bin/bench.ts
+++ b/packages/loadtool/src/bin/bench.ts
@@ -1,6 +1,7 @@
 #!/usr/bin/env node
 /** `npm run bench`: measures one instance; see `../bench.ts`. */
 import {Command, InvalidArgumentError, Option} from 'commander';
+import type {BenchPart} from '../bench';
 import {runBench} from '../bench';
 import {benchReportText} from '../bench_report';
 import {endWithChildrenOnSignal} from '../child_process';
@@ -13,6 +14,7 @@
   readonly connections: number;
   readonly measureS: number;
   readonly baseline: boolean;
+  readonly only: BenchPart | undefined;
 }
 
 function wholeNumber(text: string): number {
@@ -29,6 +31,7 @@
     warmUpMs: 1000,
     measureMs: options.measureS * 1000,
     baselineOnly: options.baseline,
+    only: options.only,
   });
   process.stdout.write(
     options.output === 'json' ? `${JSON.stringify(report)}\n` : benchReportText(report),
@@ -47,6 +50,7 @@
   .option('--workers <number>', 'threads of the load generator', wholeNumber, 4)
   .option('--connections <number>', 'connections in all', wholeNumber, 64)
   .option('--measure-s <seconds>', 'length of each measurement', wholeNumber, 4)
+  .addOption(new Option('--only <part>', 'measure one part').choices(['lookups', 'forwarding']))
   .option('--baseline', 'measure only what needs no daemons', false)
   .action((options: BenchCommandOptions) => run(options).catch(failProgram))
   .parse();
