Keep an idle connection for each slot of a target

Cause: connect and close took 11.4% of the processor time of forwarding in a profile; the pool kept 8 idle connections per target and 64 requests ran at once. Ruled out: the limit of connections, which was not reached. The limit is now one per slot, at least 8 as before and at most 1/16 of the target's connections, so that small targets see no change.

--- a/packages/entry/src/target_connections.ts
+++ b/packages/entry/src/target_connections.ts
@@ -6,7 +6,18 @@
 import * as http from 'node:http';
 import type {Target} from '@cuminsill/types';
 
-const freeConnectionsPerTarget = 8;
+const minFreeConnections = 8;
+/** All entries of a deployment together keep at most the connections that a target allows while there are at most so many. */
+const entriesPerTarget = 16;
+
+/**
+ * Idle connections that one entry keeps to a target: one per slot, because fewer are closed and opened again for
+ * requests that run at once.
+ */
+export function freeConnectionLimit(target: Target): number {
+  const fairPart = Math.floor(target.maxConnections / entriesPerTarget);
+  return Math.max(minFreeConnections, Math.min(target.slots, fairPart));
+}
 
 /** Agents per target. */
 export class TargetConnections {
@@ -19,7 +30,7 @@
     const agent = new http.Agent({
       keepAlive: true,
       maxSockets: target.maxConnections,
-      maxFreeSockets: freeConnectionsPerTarget,
+      maxFreeSockets: freeConnectionLimit(target),
       scheduling: 'lifo',
     });
     this.agents.set(target.id, agent);
