Replay steering traces, and keep the cap when a target leaves

The first trace of a whole move with a leaving target found a fault: an entry whose slots of a region are all at that target counted the region as lost and overflowed without regard to the cap.

Ruled out: reports that stop, targets that fail fast and the load peak.

In `region_loss.ts` a target that is leaving says nothing about the other targets.

Conclusion: one target that leaves no longer breaks the cap. An entry that holds slots of one target only still counts the region as lost when that target is down.

--- a/packages/loadtool/src/bin/replay.ts
+++ b/packages/loadtool/src/bin/replay.ts
@@ -1,5 +1,5 @@
 #!/usr/bin/env node
-/** `cuminsill-replay`: replays a trace and compares stated with actual outcomes; see `docs/traces.md`. */
+/** `cuminsill-replay`: replays traces and compares stated with actual outcomes; see `docs/traces.md`. */
 import {readFileSync} from 'node:fs';
 import {Command, Option} from 'commander';
 import {failProgram, packageVersion} from '../program';
@@ -11,23 +11,28 @@
   readonly output: 'json' | 'table';
 }
 
-async function run(file: string, options: ReplayCommandOptions): Promise<void> {
-  const trace = parseTrace(file, readFileSync(file, 'utf8'));
-  const findings = await replayTrace(trace, scenarioKinds);
-  process.stdout.write(
-    options.output === 'json' ? `${JSON.stringify(findings)}\n` : findingsText(findings),
-  );
-  if (findings.some(finding => !finding.matches)) process.exitCode = 1;
+async function run(files: readonly string[], options: ReplayCommandOptions): Promise<void> {
+  for (const file of files) {
+    const trace = parseTrace(file, readFileSync(file, 'utf8'));
+    const findings = await replayTrace(trace, scenarioKinds);
+    if (files.length > 1 && options.output === 'table') process.stdout.write(`${file}\n`);
+    process.stdout.write(
+      options.output === 'json' ? `${JSON.stringify(findings)}\n` : findingsText(findings),
+    );
+    if (findings.some(finding => !finding.matches)) process.exitCode = 1;
+  }
 }
 
 new Command('cuminsill-replay')
-  .description('Replays a trace and compares the stated outcomes with the actual ones.')
+  .description('Replays traces and compares the stated outcomes with the actual ones.')
   .version(packageVersion())
-  .argument('<trace-file>', 'JSON-lines file')
+  .argument('<trace-files...>', 'JSON-lines files')
   .addOption(
     new Option('--output <form>', 'form of the findings')
       .choices(['json', 'table'])
       .default('table'),
   )
-  .action((file: string, options: ReplayCommandOptions) => run(file, options).catch(failProgram))
+  .action((files: readonly string[], options: ReplayCommandOptions) =>
+    run(files, options).catch(failProgram),
+  )
   .parse();
--- a/packages/loadtool/src/replay/replay_trace.ts
+++ b/packages/loadtool/src/replay/replay_trace.ts
@@ -2,10 +2,16 @@
 import {isDeepStrictEqual} from 'node:util';
 import {ManualTime} from '@cuminsill/utils';
 import {InvalidDataError} from '@cuminsill/validation';
+import {Option, Schema} from 'effect';
 import type {ScenarioKind} from './scenario';
 import {stepTimeMs} from './trace_file';
 import type {Trace, TraceExpectation} from './trace_file';
 
+const BoundSchema = Schema.Union(
+  Schema.Struct({atMost: Schema.Number}),
+  Schema.Struct({atLeast: Schema.Number}),
+);
+
 /** One expectation with what was found. */
 export interface ReplayFinding {
   readonly line: number;
@@ -37,7 +43,7 @@
     const {expectation} = step;
     const actual = toJson(await scenario.observe(expectation));
     const expected = expectation.value;
-    const matches = isDeepStrictEqual(actual, expected);
+    const matches = satisfies(actual, expected);
     findings.push({line: step.line, subject: subjectOf(expectation), expected, actual, matches});
   }
   return findings;
@@ -61,6 +67,14 @@
   return typeof of === 'string' ? `${expect} of ${of}` : expect;
 }
 
+/** A stated `{"atMost": n}` or `{"atLeast": n}` is a bound of a number; any other value must be equal. */
+function satisfies(actual: unknown, stated: unknown): boolean {
+  const bound = Schema.decodeUnknownOption(BoundSchema, {onExcessProperty: 'error'})(stated);
+  if (Option.isNone(bound)) return isDeepStrictEqual(actual, stated);
+  if (typeof actual !== 'number') return false;
+  return 'atMost' in bound.value ? actual <= bound.value.atMost : actual >= bound.value.atLeast;
+}
+
 /** Drops what JSON does not carry, such as undefined fields, before the comparison. */
 function toJson(value: unknown): unknown {
   return value === undefined ? null : (JSON.parse(JSON.stringify(value)) as unknown);
--- a/packages/steering/__fixtures__/baseline_policies.ts
+++ b/packages/steering/__fixtures__/baseline_policies.ts
@@ -13,6 +13,7 @@
   | 'updateMembers'
   | 'updateReports'
   | 'updateContactAge'
+  | 'markLeaving'
   | 'assign'
   | 'release'
   | 'tick'
@@ -62,6 +63,10 @@
     }
   }
 
+  markLeaving(targetId: string): void {
+    this.failing.add(targetId);
+  }
+
   assign(...[request, onResult]: Parameters<SteeringDecisions['assign']>): () => void {
     const shares = this.table?.route(request.serviceId, request.callerRegionId).shares ?? [];
     const key = JSON.stringify([request.serviceId, request.callerRegionId]);
--- /dev/null
+++ b/packages/steering/__fixtures__/bench.ts
@@ -0,0 +1,7 @@
+/** The policy bench, for the replay of traces; imported as `@cuminsill/steering/bench`. */
+export {deployments} from './bench_deployments';
+export type {Deployment} from './bench_deployments';
+export type {BenchFigures} from './bench_metrics';
+export {BenchRun} from './bench_run';
+export type {TargetFault} from './bench_targets';
+export {makeRouteIntent} from './fleets';
--- a/packages/steering/__fixtures__/bench_scenarios.ts
+++ b/packages/steering/__fixtures__/bench_scenarios.ts
@@ -1,7 +1,8 @@
 /** Scenarios of the policy bench. */
 import type {ConfirmedIntent} from '@cuminsill/types';
 import type {Deployment} from './bench_deployments';
-import type {BenchOptions, BenchRun} from './bench_run';
+import type {BenchRun} from './bench_run';
+import type {BenchOptions} from './bench_types';
 import {makeRouteIntent} from './fleets';
 
 /** One scenario. */
--- a/packages/steering/__fixtures__/bench_targets.ts
+++ b/packages/steering/__fixtures__/bench_targets.ts
@@ -1,6 +1,7 @@
 /** Fake targets of the bench: slots, service time, shedding, cold start and misleading behaviour. */
 import type {Target, TargetReport} from '@cuminsill/types';
 import type {RandomSource} from '@cuminsill/utils';
+import type {Deployment} from './bench_deployments';
 
 /** How a target misbehaves. */
 export type TargetFault =
@@ -29,12 +30,16 @@
   /** Requests that entries have sent and not yet released. */
   sent = 0;
   peakSent = 0;
+  /** Set when the target begins to leave. */
+  leavingSinceMs: number | undefined;
+  /** Time from then to the last request that arrived. */
+  lastWorkAfterLeavingMs = 0;
   private startedAtMs = -Infinity;
 
   constructor(
     readonly target: Target,
     private readonly serviceMs: number,
-    readonly fault: TargetFault,
+    public fault: TargetFault,
     private readonly random: RandomSource,
   ) {}
 
@@ -44,6 +49,11 @@
     return this.fault === 'full-but-idle' ? 1 : this.target.slots;
   }
 
+  /** True while the target says that it is leaving. */
+  get isLeaving(): boolean {
+    return this.leavingSinceMs !== undefined;
+  }
+
   /** Starts again with a cold cache. */
   restart(nowMs: number): void {
     this.alive = true;
@@ -54,6 +64,9 @@
   /** Decides about a request; one that runs must be ended by `finish`. */
   arrive(nowMs: number): TargetReply {
     if (!this.alive) return {kind: 'silent'};
+    if (this.leavingSinceMs !== undefined) {
+      this.lastWorkAfterLeavingMs = nowMs - this.leavingSinceMs;
+    }
     if (this.fault === 'fails-fast') return {kind: 'failed', afterMs: 2};
     if (this.running >= this.usableSlots) return {kind: 'shed', afterMs: 1};
     this.running += 1;
@@ -73,9 +86,37 @@
   probe(nowMs: number): TargetReport {
     return {
       targetId: this.target.id,
-      health: this.alive ? 'healthy' : 'failing',
+      health: !this.alive ? 'failing' : this.isLeaving ? 'leaving' : 'healthy',
       reportedInFlight: this.fault === 'none' ? this.running : 0,
       observedAtMs: nowMs,
     };
   }
 }
+
+/** One fake target for each target of a deployment; with faults, two targets of the first service misbehave. */
+export function makeFakeTargets(
+  deployment: Deployment,
+  faults: boolean,
+  random: RandomSource,
+): readonly FakeTarget[] {
+  const services = new Map(deployment.services.map(service => [service.id, service]));
+  const first = deployment.services[0]?.id;
+  return deployment.catalog.targets.map(target => {
+    let fault: TargetFault = 'none';
+    if (faults && target.serviceId === first) {
+      if (target.id.endsWith(`${deployment.regionIds[0]}-0`)) fault = 'fails-fast';
+      if (target.id.endsWith(`${deployment.regionIds[1]}-0`)) fault = 'full-but-idle';
+    }
+    return new FakeTarget(target, services.get(target.serviceId)?.serviceMs ?? 100, fault, random);
+  });
+}
+
+/** Targets of one service in one region. */
+export function groupByPool(targets: readonly FakeTarget[]): readonly (readonly FakeTarget[])[] {
+  const pools = new Map<string, FakeTarget[]>();
+  for (const fake of targets) {
+    const key = JSON.stringify([fake.target.serviceId, fake.target.regionId]);
+    pools.set(key, [...(pools.get(key) ?? []), fake]);
+  }
+  return [...pools.values()];
+}
--- a/packages/steering/__fixtures__/measure_policy.ts
+++ b/packages/steering/__fixtures__/measure_policy.ts
@@ -6,9 +6,9 @@
 import type {Deployment} from './bench_deployments';
 import {deployments} from './bench_deployments';
 import type {BenchFigures} from './bench_metrics';
-import type {PolicyName} from './bench_run';
 import {BenchRun} from './bench_run';
 import {scenarios} from './bench_scenarios';
+import type {PolicyName} from './bench_types';
 
 interface ResultRow extends BenchFigures {
   readonly deployment: string;
--- a/packages/steering/src/region_loss.ts
+++ b/packages/steering/src/region_loss.ts
@@ -21,16 +21,20 @@
     else if (this.recovering) this.recovering = this.findRecovering(targets);
   }
 
-  /** Targets that this entry has slots of decide; without any, the reports do. */
+  /**
+   * Targets that this entry has slots of decide; without any, the reports do. A target that is leaving says nothing
+   * about the others: an entry whose slots are all at that target must not count the region as lost.
+   */
   private findLoss(targets: Iterable<TargetState>): boolean {
     const nowWallMs = this.time.nowMs();
     let holdsSlots = false;
     let othersOpen = false;
     for (const target of targets) {
+      if (target.leaving) continue;
       if (target.slots.some(slot => slot.held)) {
-        if (!target.leaving && !target.down) return false;
+        if (!target.down) return false;
         holdsSlots = true;
-      } else if (!target.leaving && !target.down && !target.isReportedFailing(nowWallMs)) {
+      } else if (!target.down && !target.isReportedFailing(nowWallMs)) {
         othersOpen = true;
       }
     }
