--- a/jest.config.js
+++ b/jest.config.js
@@ -8,6 +8,7 @@
   testPathIgnorePatterns: ['/node_modules/', '/dist/'],
   modulePathIgnorePatterns: ['/dist/'],
   moduleNameMapper: {
+    '^@cuminsill/steering/bench$': '<rootDir>/packages/steering/__fixtures__/bench.ts',
     '^@cuminsill/([a-z_]+)$': '<rootDir>/packages/$1/src/index.ts',
   },
   // Effect keeps the current fiber on the global scope; the cleanup would wrap its properties while it still runs.
