Move finished claims of a shard to segments that are written once

Cause: a checkpoint held all claims of 24 h in one object of a megabyte, about 7,100 claims a shard, and each checkpoint rewrote all of them.

Change: finished claims go to segments of at most 900 kB with an index of 8 bytes a claim. One conditional update of the checkpoint names them. An owner keeps the indexes in memory and reads a claim from its segment when its key is asked for. An owner that finds a checkpoint of another owner replays from it. A checkpoint is written after 1,000 records, with a segment, or 10 minutes after a change. The expectation of the restore test is unchanged. Checkpoints of the former format are refused.

--- a/packages/claims/__tests__/claim_shard.test.ts
+++ b/packages/claims/__tests__/claim_shard.test.ts
@@ -1,3 +1,4 @@
+import type {StoreFault} from '@cuminsill/standins';
 import {Effect} from 'effect';
 import type {ClaimOutcome} from '../src';
 import {claimIdOf, maxKeptBodyBytes, retentionMs} from '../src';
@@ -147,6 +148,97 @@
     expect(harness.time.run(next.claim(harness.request('k', 'entry#3'))).state).toBe('granted');
   });
 
+  // Guards against claims that are lost, granted again or kept for ever when they are moved to a segment, whatever
+  // happens to the writes of the segment and of the checkpoint that names it.
+  it.each<[string, StoreFault, 'segments' | 'segment_index' | 'checkpoint' | 'none']>([
+    ['without faults', 'none', 'none'],
+    ['index refused', 'unavailable', 'segment_index'],
+    ['data refused', 'unavailable', 'segments'],
+    ['data written, answer lost', 'answer-lost-after-write', 'segments'],
+    ['checkpoint refused', 'unavailable', 'checkpoint'],
+    ['checkpoint not written, answer lost', 'answer-lost-before-write', 'checkpoint'],
+    ['checkpoint written, answer lost', 'answer-lost-after-write', 'checkpoint'],
+  ])('keeps claims in segments: %s', (_name, fault, object) => {
+    const checkpoints = {intervalMs: 60_000, records: 1, segmentBytes: 1, trimAgeMs: 5_000};
+    const owner = harness.authority('a', {checkpoints});
+    const first = harness.request('k');
+    harness.time.run(owner.claim(first));
+    harness.time.run(owner.complete('k', claimIdOf(first), run(1)));
+    harness.store.setFaultPlan((kind, key) =>
+      kind === 'write' && key.startsWith(`claims/0/${object}`) ? fault : 'none',
+    );
+    harness.time.advance(2_000);
+    harness.time.run(owner.outcomeOf('other'));
+    harness.time.advance(70_000);
+    harness.store.setFaultPlan(() => 'none');
+    // An idle owner wakes once a minute.
+    harness.time.advance(200_000);
+    const objects = harness.store.keys().map(key => key.replace(/\d{12}-.*/, ''));
+    expect(objects).toEqual([
+      'claims/0/checkpoint',
+      'claims/0/segment_index/',
+      'claims/0/segments/',
+      'claims/shards',
+    ]);
+    harness.owner = 'b';
+    const next = harness.authority('b', {checkpoints});
+    for (const authority of [owner, next]) {
+      harness.owner = authority === owner ? 'a' : 'b';
+      expect(harness.time.run(authority.outcomeOf('k')).state).toBe('run');
+      const retry = harness.request('k', 'entry#2');
+      expect(harness.time.run(authority.claim(retry)).state).toBe('run');
+      const reused = harness.request('k', 'entry#3', 'other');
+      expect(harness.time.run(authority.claim(reused)).state).toBe('key-reused');
+    }
+    harness.time.advance(retentionMs);
+    expect(harness.time.run(next.claim(harness.request('k', 'entry#4'))).state).toBe('granted');
+    harness.time.advance(200_000);
+    expect(harness.store.keys().filter(key => key.includes('segment'))).toEqual([]);
+  });
+
+  // Guards against a grant for a key in a segment that cannot be read at the moment.
+  it('grants nothing for a key whose segment is not readable', () => {
+    const checkpoints = {intervalMs: 60_000, records: 1, segmentBytes: 1};
+    const owner = harness.authority('a', {checkpoints});
+    const first = harness.request('k');
+    harness.time.run(owner.claim(first));
+    harness.time.run(owner.complete('k', claimIdOf(first), run(1)));
+    harness.time.advance(200_000);
+    harness.store.setFaultPlan((_kind, key) =>
+      key.includes('/segments/') ? 'unavailable' : 'none',
+    );
+    expect(harness.time.run(owner.claim(harness.request('k', 'entry#2'))).state).toBe(
+      'unavailable',
+    );
+    expect(harness.time.run(owner.outcomeOf('k')).state).toBe('unavailable');
+    expect(harness.time.run(owner.claim(harness.request('k2'))).state).toBe('granted');
+  });
+
+  // Guards against an owner that goes on with segments which another owner has replaced and removed.
+  it('an owner that finds a checkpoint of another owner replays from it', () => {
+    const checkpoints = {intervalMs: 60_000, records: 1, segmentBytes: 1};
+    const former = harness.authority('a', {checkpoints, ownerOf: () => 'a'});
+    const next = harness.authority('b', {checkpoints, ownerOf: () => 'b'});
+    const granted = ['k1', 'k2', 'k3', 'k4'].map((key, index) => {
+      const owner = index % 2 === 0 ? former : next;
+      // The first request finds the position taken by the other owner, who has written checkpoints since.
+      const refused = harness.request(key, 'entry#1');
+      const wasRefused = harness.time.run(owner.claim(refused)).state !== 'granted';
+      if (wasRefused) harness.time.advance(5_000);
+      const request = wasRefused ? harness.request(key, 'entry#2') : refused;
+      if (wasRefused) expect(harness.time.run(owner.claim(request)).state).toBe('granted');
+      harness.time.run(owner.complete(key, claimIdOf(request), run(1)));
+      harness.time.advance(130_000);
+      return key;
+    });
+    for (const owner of [former, next]) {
+      harness.time.run(owner.outcomeOf('a position that may be taken'));
+      harness.time.advance(5_000);
+      const states = granted.map(key => harness.time.run(owner.outcomeOf(key)).state);
+      expect(states).toEqual(['run', 'run', 'run', 'run']);
+    }
+  });
+
   // Guards against two numbers of shards, which would map a key to two logs.
   it('refuses claims when its number of shards differs from the deployment', () => {
     harness.time.run(harness.authority('a').claim(harness.request('k')));
--- a/packages/claims/src/claim_authority.ts
+++ b/packages/claims/src/claim_authority.ts
@@ -7,6 +7,7 @@
 import type {RandomSource, TimeSource} from '@cuminsill/utils';
 import {hash32} from '@cuminsill/utils';
 import {Effect, Either, Schema, Scope} from 'effect';
+import type {CheckpointSettings} from './checkpoint_keeper';
 import type {ClaimShardCounts} from './claim_shard';
 import {ClaimShard} from './claim_shard';
 import type {
@@ -16,6 +17,7 @@
   ClaimRequest,
   CompleteAnswer,
 } from './claim_types';
+import {SegmentStore} from './segment_archive';
 
 /** Number of claim shards unless the configuration says otherwise. */
 export const defaultShardCount = 16;
@@ -35,6 +37,8 @@
   readonly replyWaitMs?: number;
   /** Largest number of appends per second and shard. */
   readonly maxAppendsPerS?: number;
+  /** Periods of checkpoints and segments that differ from the usual ones; for tests. */
+  readonly checkpoints?: Partial<CheckpointSettings>;
 }
 
 const shardsKey = 'claims/shards';
@@ -117,6 +121,7 @@
       return ClaimShard.start({
         ...this.options,
         log: new StoreLog(store, `claims/${shardNumber}`, time),
+        segmentStore: new SegmentStore(store, `claims/${shardNumber}`),
         isOwned: () => ownerOf(shardNumber) === instanceId,
       }).pipe(
         Scope.extend(this.scope),
--- a/packages/claims/src/claim_records.ts
+++ b/packages/claims/src/claim_records.ts
@@ -1,6 +1,7 @@
 /**
- * Bodies of the records and checkpoints of a claim log: JSON (deflated in checkpoints), validated on read. A body that does not match is
- * an error, never a partial record, because a claim that is not seen could be granted twice.
+ * Bodies of the records, checkpoints and segments of a claim log: JSON (deflated in checkpoints and segments), validated
+ * on read. A body that does not match is an error, never a partial record, because a claim that is not seen could be
+ * granted twice.
  */
 import {digest} from '@cuminsill/utils';
 import {Data, Either, Schema} from 'effect';
@@ -40,18 +41,28 @@
   claims: Schema.Array(claimSchema),
 });
 
+const checkpointClaimSchema = Schema.Struct({
+  ...claimSchema.fields,
+  claimedAtMs: Schema.Number,
+  status: Schema.Literal('open', 'orphaned', 'unknown', 'run'),
+  answer: Schema.optional(answerSchema),
+});
+
+const segmentEntrySchema = Schema.Struct({
+  name: Schema.String,
+  claims: Schema.Int,
+  newestAtMs: Schema.Number,
+});
+
 const checkpointSchema = Schema.Struct({
-  claims: Schema.Array(
-    Schema.Struct({
-      ...claimSchema.fields,
-      claimedAtMs: Schema.Number,
-      status: Schema.Literal('open', 'orphaned', 'unknown', 'run'),
-      answer: Schema.optional(answerSchema),
-    }),
-  ),
+  recent: Schema.Array(checkpointClaimSchema),
   released: Schema.Array(Schema.Struct({claimId: Schema.String, atMs: Schema.Number})),
+  segments: Schema.Array(segmentEntrySchema),
+  removable: Schema.Array(Schema.String),
 });
 
+const segmentSchema = Schema.Array(checkpointClaimSchema);
+
 /** A kept answer as a record holds it. */
 export type RecordedAnswer = typeof answerSchema.Type;
 /** One claim in a record. */
@@ -60,7 +71,14 @@
 export type RecordedOutcome = typeof outcomeSchema.Type;
 /** One append to a claim log: the outcomes take effect before the claims. */
 export type ShardRecord = typeof recordSchema.Type;
-/** All that is known of a shard at one position. */
+/** A claim with what is known of it. */
+export type CheckpointClaim = typeof checkpointClaimSchema.Type;
+/** A segment as a checkpoint names it; `newestAtMs` is the time of its newest claim. */
+export type SegmentEntry = typeof segmentEntrySchema.Type;
+/**
+ * All that is known of a shard at one position: the claims that are not in a segment, the ids of released claims,
+ * the segments, and the names of segments that no later checkpoint uses and that may still exist.
+ */
 export type ShardCheckpoint = typeof checkpointSchema.Type;
 
 /** A record or a checkpoint in the store that this version cannot read. */
@@ -93,28 +111,28 @@
   return decode(recordSchema, body);
 }
 
-/**
- * Encodes a checkpoint's state, deflated. `npm run measure:claims` gives the bytes a claim
- * takes. A state that is larger than
- * `maxBytes` is encoded without the bodies of kept answers; the claims themselves always stay.
- */
-export function encodeShardCheckpoint(checkpoint: ShardCheckpoint, maxBytes: number): Uint8Array {
-  const whole = deflateRawSync(JSON.stringify(checkpoint));
-  if (whole.byteLength <= maxBytes) return whole;
-  const claims = checkpoint.claims.map(({answer, ...claim}) =>
-    answer === undefined ? claim : {...claim, answer: {...answer, bodyBase64: undefined}},
-  );
-  return deflateRawSync(JSON.stringify({...checkpoint, claims}));
+/** Encodes a checkpoint's state, deflated. */
+export function encodeShardCheckpoint(checkpoint: ShardCheckpoint): Uint8Array {
+  return deflateRawSync(JSON.stringify(checkpoint));
 }
 
 /** Decodes a checkpoint's state. Fails with InvalidClaimRecordError. */
 export function decodeShardCheckpoint(
   state: Uint8Array,
 ): Either.Either<ShardCheckpoint, InvalidClaimRecordError> {
-  return Either.try({
-    try: () => inflateRawSync(state),
-    catch: error => new InvalidClaimRecordError({detail: String(error)}),
-  }).pipe(Either.flatMap(json => decode(checkpointSchema, json)));
+  return inflateAndDecode(checkpointSchema, state);
+}
+
+/** Encodes the claims of a segment, deflated. */
+export function encodeSegmentBody(claims: readonly CheckpointClaim[]): Uint8Array {
+  return deflateRawSync(JSON.stringify(claims));
+}
+
+/** Decodes the claims of a segment. Fails with InvalidClaimRecordError. */
+export function decodeSegmentBody(
+  body: Uint8Array,
+): Either.Either<readonly CheckpointClaim[], InvalidClaimRecordError> {
+  return inflateAndDecode(segmentSchema, body);
 }
 
 /** Turns a reported outcome into its recorded form; a body over {@link maxKeptBodyBytes} is not kept. */
@@ -141,6 +159,16 @@
   return {status, contentType, body: new Uint8Array(Buffer.from(bodyBase64, 'base64'))};
 }
 
+function inflateAndDecode<A, I>(
+  schema: Schema.Schema<A, I>,
+  bytes: Uint8Array,
+): Either.Either<A, InvalidClaimRecordError> {
+  return Either.try({
+    try: () => inflateRawSync(bytes),
+    catch: error => new InvalidClaimRecordError({detail: String(error)}),
+  }).pipe(Either.flatMap(json => decode(schema, json)));
+}
+
 function decode<A, I>(
   schema: Schema.Schema<A, I>,
   bytes: Uint8Array,
--- a/packages/claims/src/claim_shard.ts
+++ b/packages/claims/src/claim_shard.ts
@@ -6,48 +6,38 @@
 import {Duration, Effect, Queue} from 'effect';
 import type {Scope} from 'effect';
 import type {CheckpointCounts} from './checkpoint_keeper';
-import {CheckpointKeeper} from './checkpoint_keeper';
-import type {InvalidClaimRecordError, ShardRecord} from './claim_records';
-import {
-  claimIdOf,
-  decodeShardCheckpoint,
-  decodeShardRecord,
-  encodeShardRecord,
-  toRecordedOutcome,
-} from './claim_records';
-import {ClaimTable, releasedIdMs} from './claim_table';
+import type {CheckpointSettings} from './checkpoint_keeper';
+import {defaultCheckpointSettings} from './checkpoint_keeper';
+import type {ShardRecord} from './claim_records';
+import {claimIdOf, encodeShardRecord, toRecordedOutcome} from './claim_records';
+import {releasedIdMs} from './claim_table';
 import type {ClaimAnswer, ClaimOutcome, ClaimRequest, CompleteAnswer} from './claim_types';
-import type {PendingRequest} from './pending_requests';
-import {refuseAll, Reply} from './pending_requests';
+import type {PendingQuestion, PendingRequest} from './pending_requests';
+import {AnsweredIds, refuseAll, Reply} from './pending_requests';
+import type {SegmentStore} from './segment_archive';
 import type {ShardAppenderOptions} from './shard_appender';
 import {retryMaxMs, retryMinMs, ShardAppender} from './shard_appender';
+import type {Tenure} from './shard_replay';
+import {archivedAnswer, replayShard} from './shard_replay';
 
 /** Settings and surroundings of a shard's owner. */
 export interface ClaimShardOptions extends ShardAppenderOptions {
   readonly instanceId: string;
+  readonly segmentStore: SegmentStore;
+  /** Periods of checkpoints and segments that differ from the usual ones. */
+  readonly checkpoints?: Partial<CheckpointSettings>;
   /** How long a request waits for its append, in milliseconds. Default 2,000. */
   readonly replyWaitMs?: number;
 }
 
 /** Counters of a shard since the start of the process. */
-export interface ClaimShardCounts {
+export interface ClaimShardCounts extends Readonly<CheckpointCounts> {
   readonly appends: number;
   readonly takeovers: number;
   readonly stepDowns: number;
-  readonly checkpoints: number;
-  /** Size of the last checkpoint's state. */
-  readonly checkpointBytes: number;
-  readonly checkpointFailures: number;
-  readonly trimmedRecords: number;
   readonly invalidRecords: number;
 }
 
-interface Tenure {
-  readonly table: ClaimTable;
-  readonly keeper: CheckpointKeeper;
-  position: number;
-}
-
 interface Batch {
   readonly items: readonly PendingRequest[];
   readonly body: Uint8Array;
@@ -63,12 +53,6 @@
 // Bounds the memory that an outage of the store can take: 5,000 requests with kept answers are about 8 MB.
 const maxQueued = 5_000;
 
-// About 1 MB; two minutes of a shard at 80 claims a second.
-const maxAnsweredIds = 10_000;
-
-// An idle owner wakes this often, in milliseconds, for its checkpoint and its trimming.
-const idleWakeMs = 60_000;
-
 // Limits how long an owner that lost its shard unnoticed can answer "in progress" from memory.
 const confirmedMs = 5_000;
 
@@ -80,7 +64,7 @@
   private queue: PendingRequest[] = [];
   private batch: readonly PendingRequest[] = [];
   private tenure: Tenure | undefined;
-  private readonly answeredIds = new Set<string>();
+  private readonly answered = new AnsweredIds();
   private readonly appender: ShardAppender;
   private readonly counted = {takeovers: 0, stepDowns: 0, invalidRecords: 0};
 
@@ -101,6 +85,8 @@
         checkpointBytes: 0,
         checkpointFailures: 0,
         trimmedRecords: 0,
+        segments: 0,
+        removedSegments: 0,
       });
       yield* Effect.forkScoped(Effect.forever(shard.serveOnce()));
       return shard;
@@ -116,9 +102,12 @@
   claim(request: ClaimRequest): Effect.Effect<ClaimAnswer> {
     return Effect.gen(this, function* () {
       const claimId = claimIdOf(request);
-      const early = this.pendingAnswer(request) ?? this.earlyAnswer(request);
+      const early =
+        this.pendingAnswer(request) ??
+        this.earlyAnswer(request) ??
+        (yield* this.archivedAnswer(request.key, request.requestDigest));
       if (early !== undefined) return this.remember(claimId, early);
-      if (this.answeredIds.has(claimId)) return {state: 'unavailable'} as const;
+      if (this.answered.has(claimId)) return {state: 'unavailable'} as const;
       const reply = yield* Reply.make<ClaimAnswer>();
       yield* this.enqueue({kind: 'claim', request, claimId, reply});
       const answer = yield* reply.awaitOr({state: 'unavailable'}, this.replyWaitMs());
@@ -148,6 +137,9 @@
       const confirmed = known?.state === 'run' || this.appender.sinceLastMs() < confirmedMs;
       if (known !== undefined && confirmed) return known;
       if (this.pendingClaim(key) !== undefined) return {state: 'in-progress'} as const;
+      // What a segment holds is final, so it needs no confirmation.
+      const archived = known ?? (yield* this.archivedAnswer(key));
+      if (known === undefined && archived !== undefined) return archived;
       const reply = yield* Reply.make<ClaimAnswer>();
       yield* this.enqueue({kind: 'question', key, reply});
       return yield* reply.awaitOr({state: 'unavailable'}, this.replyWaitMs());
@@ -159,12 +151,7 @@
    * its sender has the first answer and would never report an outcome.
    */
   private remember(claimId: string, answer: ClaimAnswer): ClaimAnswer {
-    if (answer.state === 'not-owner') return answer;
-    this.answeredIds.add(claimId);
-    const oldest = this.answeredIds.values().next();
-    if (this.answeredIds.size > maxAnsweredIds && !oldest.done) {
-      this.answeredIds.delete(oldest.value);
-    }
+    if (answer.state !== 'not-owner') this.answered.add(claimId);
     return answer;
   }
 
@@ -189,6 +176,13 @@
     return this.tenure?.table.answerFor(request.key, this.nowMs());
   }
 
+  private archivedAnswer(
+    key: string,
+    requestDigest?: string,
+  ): Effect.Effect<ClaimAnswer | undefined> {
+    return archivedAnswer(this.tenure, key, this.nowMs(), requestDigest);
+  }
+
   private pendingAnswer(request: ClaimRequest): ClaimAnswer | undefined {
     const pending = this.pendingClaim(request.key);
     if (pending === undefined) return undefined;
@@ -211,7 +205,10 @@
   private serveOnce(): Effect.Effect<void> {
     return Effect.gen(this, function* () {
       if (this.queue.length === 0) {
-        yield* Queue.take(this.wake).pipe(Effect.timeoutOption(Duration.millis(idleWakeMs)));
+        // An idle owner wakes for its checkpoint and its trimming.
+        yield* Queue.take(this.wake).pipe(
+          Effect.timeoutOption(Duration.millis(this.settings().intervalMs)),
+        );
       }
       this.dropAnswered();
       if (!this.options.isOwned()) return yield* this.leave();
@@ -225,8 +222,8 @@
 
   private keepCheckpoint(): Effect.Effect<void> {
     if (this.tenure === undefined) return Effect.void;
-    const {keeper, table, position} = this.tenure;
-    return keeper.isSuperseded() ? this.stepDown() : keeper.runIfDue(table, position, this.nowMs());
+    const {keeper, position} = this.tenure;
+    return keeper.isSuperseded() ? this.stepDown() : keeper.runIfDue(position, this.nowMs());
   }
 
   /** Membership moved the shard. The next owner's takeover record fences this one in any case. */
@@ -251,22 +248,16 @@
   }
 
   private replay() {
-    return Effect.gen(this, function* () {
-      const {log} = this.options;
-      const checkpoint = yield* log.readCheckpoint();
-      const state = checkpoint && (yield* decodeShardCheckpoint(checkpoint.state));
-      const table = ClaimTable.fromCheckpoint(state);
-      let position = checkpoint?.position ?? 0;
-      for (const record of yield* log.readAfter(position)) {
-        table.apply(yield* decodeShardRecord(record.body));
-        position = record.position;
-      }
-      const keeper = new CheckpointKeeper(log, this.options.time, checkpoint, this.keeperCounts);
-      return {table, position, keeper} satisfies Tenure;
-    });
+    const {log, segmentStore, time} = this.options;
+    const [settings, counts] = [this.settings(), this.keeperCounts];
+    return replayShard({log, segmentStore, time, settings, counts});
+  }
+
+  private settings(): CheckpointSettings {
+    return {...defaultCheckpointSettings, ...this.options.checkpoints};
   }
 
-  private takeOver(replayed: Tenure): Effect.Effect<Tenure | undefined, InvalidClaimRecordError> {
+  private takeOver(replayed: Tenure): Effect.Effect<Tenure | undefined> {
     return Effect.gen(this, function* () {
       const record = this.recordOf([], true);
       const body = encodeShardRecord(record);
@@ -307,7 +298,8 @@
       const items: PendingRequest[] = [];
       const taken = this.queue.splice(0, maxItemsPerAppend);
       for (const pending of taken) {
-        const early = pending.kind === 'claim' ? this.earlyAnswer(pending.request) : undefined;
+        const early =
+          pending.kind === 'claim' ? yield* this.answerBeforeAppend(pending.request) : undefined;
         if (pending.kind === 'claim' && early !== undefined) yield* pending.reply.give(early);
         else items.push(pending);
       }
@@ -318,6 +310,13 @@
     });
   }
 
+  private answerBeforeAppend(request: ClaimRequest): Effect.Effect<ClaimAnswer | undefined> {
+    const early = this.earlyAnswer(request);
+    return early === undefined
+      ? this.archivedAnswer(request.key, request.requestDigest)
+      : Effect.succeed(early);
+  }
+
   private answerBatch(tenure: Tenure, batch: Batch): Effect.Effect<void> {
     return Effect.forEach(batch.items, item => this.answerItem(tenure, item), {discard: true});
   }
@@ -325,8 +324,7 @@
   private answerItem(tenure: Tenure, item: PendingRequest): Effect.Effect<unknown> {
     if (item.kind === 'outcome') return item.reply.give('recorded');
     if (item.kind === 'question') {
-      const answer = tenure.table.answerFor(item.key, this.nowMs());
-      return item.reply.give(answer ?? {state: 'not-run'});
+      return this.answerQuestion(tenure, item);
     }
     const {key} = item.request;
     if (!tenure.table.isOpen(key, item.claimId)) {
@@ -342,6 +340,12 @@
       );
   }
 
+  private answerQuestion(tenure: Tenure, {key, reply}: PendingQuestion): Effect.Effect<boolean> {
+    const known = tenure.table.answerFor(key, this.nowMs());
+    const answer = known === undefined ? this.archivedAnswer(key) : Effect.succeed(known);
+    return Effect.flatMap(answer, found => reply.give(found ?? {state: 'not-run'}));
+  }
+
   /** The claim became durable after its caller was told `unavailable`; nothing was or will be sent under it. */
   private releaseUngranted(key: string, claimId: string): Effect.Effect<void> {
     return Effect.gen(this, function* () {
--- a/packages/claims/src/claim_table.ts
+++ b/packages/claims/src/claim_table.ts
@@ -2,7 +2,7 @@
  * The claims of one shard, as its log says. Replay and the live owner apply the same records through the same
  * function, so a new owner reaches the state that the former owner had.
  */
-import type {RecordedAnswer, RecordedClaim, RecordedOutcome} from './claim_records';
+import type {CheckpointClaim, RecordedClaim, RecordedOutcome} from './claim_records';
 import type {ShardCheckpoint, ShardRecord} from './claim_records';
 import {toKeptAnswer} from './claim_records';
 import type {ClaimAnswer} from './claim_types';
@@ -16,16 +16,13 @@
  */
 export const releasedIdMs = 600_000;
 
-/** `orphaned`: granted by a former owner and not reported since. */
-type ClaimStatus = 'open' | 'orphaned' | 'unknown' | 'run';
+// `orphaned`: granted by a former owner and not reported since.
+type HeldClaim = CheckpointClaim;
 
-interface HeldClaim extends RecordedClaim {
-  readonly claimedAtMs: number;
-  readonly status: ClaimStatus;
-  readonly answer?: RecordedAnswer;
-}
-
-/** Claims by key, with the ids of recently released claims. */
+/**
+ * Claims by key that are not in a segment, with the ids of recently released claims. Claims are replaced and never
+ * changed, so that a claim that was written to a segment is dropped only if nothing happened to it since.
+ */
 export class ClaimTable {
   private readonly claims = new Map<string, HeldClaim>();
   private readonly released = new Map<string, number>();
@@ -33,7 +30,7 @@
   /** Restores the state of a checkpoint; an empty table when there is none. */
   static fromCheckpoint(checkpoint: ShardCheckpoint | undefined): ClaimTable {
     const table = new ClaimTable();
-    for (const claim of checkpoint?.claims ?? []) table.claims.set(claim.key, claim);
+    for (const claim of checkpoint?.recent ?? []) table.claims.set(claim.key, claim);
     for (const {claimId, atMs} of checkpoint?.released ?? []) table.released.set(claimId, atMs);
     return table;
   }
@@ -48,12 +45,7 @@
   /** What is known of a key; undefined when no claim is recorded or its retention has passed. */
   answerFor(key: string, nowMs: number): ClaimAnswer | undefined {
     const claim = this.liveClaim(key, nowMs);
-    if (claim === undefined) return undefined;
-    if (claim.status === 'open') return {state: 'in-progress'};
-    if (claim.status === 'run' && claim.answer !== undefined) {
-      return {state: 'run', answer: toKeptAnswer(claim.answer)};
-    }
-    return {state: 'unknown'};
+    return claim === undefined ? undefined : answerOf(claim);
   }
 
   /** Digest of the request that holds the key. */
@@ -90,10 +82,29 @@
     return releasedAtMs !== undefined && nowMs - releasedAtMs <= releasedIdMs;
   }
 
-  /** The state as a checkpoint holds it. */
-  toCheckpoint(): ShardCheckpoint {
+  /** Number of claims. */
+  size(): number {
+    return this.claims.size;
+  }
+
+  /** Claims whose outcome is final. */
+  finished(): readonly CheckpointClaim[] {
+    return [...this.claims.values()].filter(({status}) => status === 'run' || status === 'unknown');
+  }
+
+  /** Drops claims that a segment holds now, except those that were changed since. */
+  drop(claims: readonly CheckpointClaim[]): void {
+    for (const claim of claims) {
+      if (this.claims.get(claim.key) === claim) this.claims.delete(claim.key);
+    }
+  }
+
+  /** The state as a checkpoint holds it, without the claims that go to a segment. */
+  toCheckpoint(
+    closing: ReadonlySet<CheckpointClaim>,
+  ): Pick<ShardCheckpoint, 'recent' | 'released'> {
     return {
-      claims: [...this.claims.values()],
+      recent: [...this.claims.values()].filter(claim => !closing.has(claim)),
       released: [...this.released].map(([claimId, atMs]) => ({claimId, atMs})),
     };
   }
@@ -134,6 +145,16 @@
   }
 }
 
-function isExpired(claim: HeldClaim, nowMs: number): boolean {
+/** What callers are told of a claim. */
+export function answerOf(claim: CheckpointClaim): ClaimAnswer {
+  if (claim.status === 'open') return {state: 'in-progress'};
+  if (claim.status === 'run' && claim.answer !== undefined) {
+    return {state: 'run', answer: toKeptAnswer(claim.answer)};
+  }
+  return {state: 'unknown'};
+}
+
+/** Whether the retention of a claim has passed. */
+export function isExpired(claim: Pick<CheckpointClaim, 'claimedAtMs'>, nowMs: number): boolean {
   return nowMs - claim.claimedAtMs >= retentionMs;
 }
--- a/packages/claims/src/pending_requests.ts
+++ b/packages/claims/src/pending_requests.ts
@@ -44,6 +44,26 @@
   }
 }
 
+// About 1 MB; two minutes of a shard at 80 claims a second.
+const maxAnsweredIds = 10_000;
+
+/** Ids of the claims that were answered last. */
+export class AnsweredIds {
+  private readonly ids = new Set<string>();
+
+  /** Whether the claim was answered. */
+  has(claimId: string): boolean {
+    return this.ids.has(claimId);
+  }
+
+  /** Remembers an answered claim and forgets the oldest one above the limit. */
+  add(claimId: string): void {
+    this.ids.add(claimId);
+    const oldest = this.ids.values().next();
+    if (this.ids.size > maxAnsweredIds && !oldest.done) this.ids.delete(oldest.value);
+  }
+}
+
 /** A claim that waits for its append. */
 export interface PendingClaim {
   readonly kind: 'claim';
--- a/scripts/measure_claims.mjs
+++ b/scripts/measure_claims.mjs
@@ -95,8 +95,6 @@
   const addedMs = share => sorted[Math.floor(share * (sorted.length - 1))] - storeLatencyMs;
   const checkpoints = sumOf('checkpoints') - checkpointsBefore;
   const checkpointFailures = sumOf('checkpointFailures');
-  // Long enough for a checkpoint of every shard with all claims.
-  time.advance(125_000);
   return {
     operationsPerS,
     operations,
@@ -108,7 +106,6 @@
     // Each record is removed an hour later at the earliest, in a write of its own.
     laterRemovalsPerS: round(appends / measuredS),
     addedLatencyMs: {p50: round(addedMs(0.5)), p99: round(addedMs(0.99)), max: round(addedMs(1))},
-    checkpointBytesPerClaim: round(sumOf('checkpointBytes') / state.index),
     baselines: baselines.map(({name, writesPerOperation, removalsPerOperation}) => ({
       name,
       writesPerOperation,
