Give claim requests an attempt token of their own

Cause: the token of an attempt was hidden in the instance id, as "<id>#<uuid>", so a caller that passed a plain instance id would have given two attempts the same claim id.

Change: attemptToken and attempt_token replace instanceId and instance_id. A request without a token is refused as unavailable; a test shows it. ClaimSession no longer takes an instance id.

Conclusion: no change in behaviour for requests with a token.

--- a/packages/claims/__tests__/authority_harness.ts
+++ b/packages/claims/__tests__/authority_harness.ts
@@ -34,7 +34,7 @@
 
   /** A claim request for a key; each token is an attempt of its own. */
   request(key: string, token = 'entry#1', requestDigest = 'digest'): ClaimRequest {
-    return {key, requestDigest, instanceId: token, sendDeadlineAtMs: this.time.nowMs() + 30_000};
+    return {key, requestDigest, attemptToken: token, sendDeadlineAtMs: this.time.nowMs() + 30_000};
   }
 
   /** Gives the fault to all writes of claim records until it is called again. */
--- a/packages/claims/__tests__/claim_shard.test.ts
+++ b/packages/claims/__tests__/claim_shard.test.ts
@@ -46,6 +46,12 @@
     expect(answer.state === 'run' && answer.answer.body?.byteLength).toBe(keptBytes);
   });
 
+  // Guards against two attempts that share a claim id because neither has a token.
+  it('grants nothing to a request without an attempt token', () => {
+    const owner = harness.authority('a');
+    expect(harness.time.run(owner.claim(harness.request('k', ''))).state).toBe('unavailable');
+  });
+
   it('refuses the same key with another request', () => {
     const owner = harness.authority('a');
     harness.time.run(owner.claim(harness.request('k')));
--- a/packages/claims/src/claim_records.ts
+++ b/packages/claims/src/claim_records.ts
@@ -92,11 +92,11 @@
 
 /**
  * Id of the claim that a request makes. The entry computes the same id, so that it can withdraw a claim whose
- * grant it never heard of. Each attempt names its own `instanceId` (see `ClaimSession`).
+ * grant it never heard of. Each attempt has its own token.
  */
 export function claimIdOf(request: ClaimRequest): string {
-  const {key, requestDigest, instanceId, sendDeadlineAtMs} = request;
-  return digest(key, requestDigest, instanceId, String(sendDeadlineAtMs)).slice(0, claimIdChars);
+  const {key, requestDigest, attemptToken, sendDeadlineAtMs} = request;
+  return digest(key, requestDigest, attemptToken, String(sendDeadlineAtMs)).slice(0, claimIdChars);
 }
 
 /** Encodes a record. */
--- a/packages/claims/src/claim_session.ts
+++ b/packages/claims/src/claim_session.ts
@@ -76,7 +76,6 @@
 
 /** Settings and surroundings of an entry's claims. */
 export interface ClaimSessionOptions {
-  readonly instanceId: string;
   readonly transport: ClaimTransport;
   /** The instance that owns the shard of a key, as membership says now. */
   readonly ownerOf: (key: string) => string | undefined;
@@ -113,7 +112,7 @@
   claim(wanted: SendRequest): Effect.Effect<ClaimDecision> {
     const request: ClaimRequest = {
       ...wanted,
-      instanceId: `${this.options.instanceId}#${randomUUID()}`,
+      attemptToken: randomUUID(),
     };
     return this.askOwners(request).pipe(
       Effect.flatMap(answer => this.decide(request, answer)),
--- a/packages/claims/src/claim_shard.ts
+++ b/packages/claims/src/claim_shard.ts
@@ -199,6 +199,8 @@
 
   private isAcceptable(request: ClaimRequest): boolean {
     const leftMs = request.sendDeadlineAtMs - this.nowMs();
+    // Attempts without a token would share a claim id.
+    if (request.attemptToken === '') return false;
     return leftMs > 0 && leftMs <= releasedIdMs && request.key.length <= maxKeyChars;
   }
 
--- a/packages/claims/src/claim_types.ts
+++ b/packages/claims/src/claim_types.ts
@@ -16,7 +16,8 @@
   readonly key: string;
   /** Digest of method, path and body. */
   readonly requestDigest: string;
-  readonly instanceId: string;
+  /** Names one attempt; no two attempts share it. */
+  readonly attemptToken: string;
   /** Milliseconds since the Unix epoch after which the entry does not send. */
   readonly sendDeadlineAtMs: number;
 }
--- a/packages/control/src/peer_services.ts
+++ b/packages/control/src/peer_services.ts
@@ -66,7 +66,7 @@
           claims.claim({
             key: request.key,
             requestDigest: request.requestDigest,
-            instanceId: request.instanceId,
+            attemptToken: request.attemptToken,
             sendDeadlineAtMs: Number(request.sendDeadlineMs),
           }),
         ),
--- a/packages/entry/src/claim_links.ts
+++ b/packages/entry/src/claim_links.ts
@@ -29,7 +29,7 @@
         await client.claim({
           key: request.key,
           requestDigest: request.requestDigest,
-          instanceId: request.instanceId,
+          attemptToken: request.attemptToken,
           sendDeadlineMs: BigInt(request.sendDeadlineAtMs),
         }),
       ),
--- a/packages/entry/src/entry_parts.ts
+++ b/packages/entry/src/entry_parts.ts
@@ -127,13 +127,8 @@
   return {controlLink, prober};
 }
 
-function makeClaimSession({
-  settings,
-  clients,
-  view,
-}: Basis): Effect.Effect<ClaimSession, never, Scope.Scope> {
+function makeClaimSession({clients, view}: Basis): Effect.Effect<ClaimSession, never, Scope.Scope> {
   return ClaimSession.make({
-    instanceId: settings.instance.id,
     transport: new ClaimLinks(clients, view),
     ownerOf: key => ownerOfKey(key, view),
     time,
--- a/scripts/measure_claim_capacity.mjs
+++ b/scripts/measure_claim_capacity.mjs
@@ -55,7 +55,7 @@
   const request = {
     key: keyOf(index),
     requestDigest: digest(`request ${index}`),
-    instanceId: `entry#${index}`,
+    attemptToken: `entry#${index}`,
     sendDeadlineAtMs: time.nowMs() + 30_000,
   };
   const body = {confirmation: digest(`confirmation ${index}`), amount: index, currency: 'UYU'};
--- a/scripts/measure_claims.mjs
+++ b/scripts/measure_claims.mjs
@@ -51,7 +51,7 @@
   const request = {
     key: digest(`key ${index}`).slice(0, 36),
     requestDigest: digest(`request ${index}`),
-    instanceId: `entry#${index}`,
+    attemptToken: `entry#${index}`,
     sendDeadlineAtMs: time.nowMs() + 30_000,
   };
   return Effect.gen(function* () {
