Let the system tests say which attempt it is, and hold targets until the kill

Cause: on a machine with load average 20 targets answered within 800 ms before the entry was killed, and refusals of operations that may have been attempted before now carry 3006 instead of 2004.

--- a/packages/system_tests/__tests__/broken_system.test.ts
+++ b/packages/system_tests/__tests__/broken_system.test.ts
@@ -56,7 +56,8 @@
 
 // Guards against an operation that runs twice, or is called not run, when its entry dies after sending it.
 it('runs an operation once when its entry is killed between send and answer', async () => {
-  await system.setServiceMs(800);
+  // Longer than the test, so that no answer can come before the entry is killed.
+  await system.setServiceMs(600_000);
   const keys = Array.from({length: 4}, (_, number) => `killed-${number}`);
   const first = keys.map(async key => ({key, result: await sendOrder(system.instance(1), key)}));
   await waitUntil(async () => (keys.every(key => system.runsOf(key) > 0) ? true : undefined));
@@ -118,8 +119,13 @@
   const read = await sendTo(system.instance(0).callerAddress, {path: '/svc/reads/item'});
   expect(read.status).toBe(200);
   const refused = await Promise.all(
-    system.instances.map(instance => sendOrder(instance, `outage-${instance.id}`)),
+    system.instances.map(instance =>
+      sendOrder(instance, `outage-${instance.id}`, {'x-attempt': '1'}),
+    ),
   );
+  // Without the caller's word that it is the first, an attempt cannot speak for the operation.
+  const unsure = await sendOrder(system.instance(0), `outage-${system.instance(0).id}`);
+  expect([unsure.code, unsure.outcome]).toEqual([3006, 'unknown']);
   expect(refused.map(({code, outcome}) => [code, outcome])).toEqual(
     Array(3).fill([2004, 'not-run']),
   );
