Use a key of its own for the attempt that may not be the first

The first attempt's claim still waits in the owner's queue during the outage, so the same key is truly in progress (3001) there; the trace showed the queued claim. A fresh key is answered 3006.

--- a/packages/system_tests/__tests__/broken_system.test.ts
+++ b/packages/system_tests/__tests__/broken_system.test.ts
@@ -124,7 +124,7 @@
     ),
   );
   // Without the caller's word that it is the first, an attempt cannot speak for the operation.
-  const unsure = await sendOrder(system.instance(0), `outage-${system.instance(0).id}`);
+  const unsure = await sendOrder(system.instance(0), 'outage-retried');
   expect([unsure.code, unsure.outcome]).toEqual([3006, 'unknown']);
   expect(refused.map(({code, outcome}) => [code, outcome])).toEqual(
     Array(3).fill([2004, 'not-run']),
@@ -186,7 +186,7 @@
     expect(await system.readiness(index)).toMatchObject({ready: false, configVersion: 0});
     const lookup = await sendTo(instance.callerAddress, {path: '/v1/lookup'});
     const read = await sendTo(instance.callerAddress, {path: '/svc/reads/item'});
-    const order = await sendOrder(instance, `restart-${index}`);
+    const order = await sendOrder(instance, `restart-${index}`, {'x-attempt': '1'});
     expect([lookup, read, order].map(({code, outcome}) => [code, outcome])).toEqual(
       Array(3).fill([2006, 'not-run']),
     );
