Move VirtualTime from claims to standins

Cause: it is test support and was compiled into the claims package. Ruled out: merging it with the virtual time of membership, whose pausable clocks and wake-up order its simulations depend on. Change: the file moves to packages/standins and is exported there. Measured: 29 tests of claim shards pass. Conclusion: no change in behaviour.

--- a/packages/claims/__tests__/authority_harness.ts
+++ b/packages/claims/__tests__/authority_harness.ts
@@ -1,11 +1,10 @@
 /** Authorities of several instances over one store, under virtual time. */
-import {MemoryStore} from '@cuminsill/standins';
+import {MemoryStore, VirtualTime} from '@cuminsill/standins';
 import type {StoreFault} from '@cuminsill/standins';
 import {seededRandom} from '@cuminsill/utils';
 import {Effect, Scope} from 'effect';
 import type {ClaimRequest, ShardedClaimAuthorityOptions} from '../src';
 import {ShardedClaimAuthority} from '../src';
-import {VirtualTime} from '../src/virtual_time';
 
 /** The virtual clock, the store, and who owns the shards. */
 export class AuthorityHarness {
--- a/packages/claims/__tests__/claim_simulation.ts
+++ b/packages/claims/__tests__/claim_simulation.ts
@@ -2,13 +2,12 @@
  * Runs one history of operations and failures over several instances, one store and one target, under virtual
  * time, and records what ran and what callers were told.
  */
-import {MemoryStore} from '@cuminsill/standins';
+import {MemoryStore, VirtualTime} from '@cuminsill/standins';
 import type {StoreFault} from '@cuminsill/standins';
 import type {PlatformStore} from '@cuminsill/store';
 import {ownerByRendezvous} from '@cuminsill/utils';
 import {Duration, Effect} from 'effect';
 import type {ClaimAnswer, ClaimOutcome} from '../src';
-import {VirtualTime} from '../src/virtual_time';
 import type {
   CallStep,
   EventStep,
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -13,3 +13,4 @@
 export * from './target_fleet';
 export * from './target_mode';
 export * from './instance_settings';
+export * from './virtual_time';
--- a/packages/claims/src/virtual_time.ts
+++ b/packages/standins/src/virtual_time.ts
@@ -1,7 +1,6 @@
 /**
  * Virtual time for simulations and measurements: fibers run to their next wait in a fixed order, then the clock
- * moves to the next wake-up. Nothing waits for real time, so a run with a seed is repeatable. Not part of the
- * package's public interface.
+ * moves to the next wake-up. Nothing waits for real time, so a run with a seed is repeatable.
  */
 import type {TimeSource} from '@cuminsill/utils';
 import type {Fiber, Scheduler} from 'effect';
--- a/scripts/measure_claim_capacity.mjs
+++ b/scripts/measure_claim_capacity.mjs
@@ -12,9 +12,8 @@
 const require = createRequire(import.meta.url);
 const {Effect, Scope} = require('effect');
 const {digest, seededRandom} = require('../packages/utils/dist/index.js');
-const {MemoryStore} = require('../packages/standins/dist/index.js');
+const {MemoryStore, VirtualTime} = require('../packages/standins/dist/index.js');
 const {ShardedClaimAuthority} = require('../packages/claims/dist/index.js');
-const {VirtualTime} = require('../packages/claims/dist/virtual_time.js');
 
 const storeLatencyMs = 5;
 const operationMs = 20;
--- a/scripts/measure_claims.mjs
+++ b/scripts/measure_claims.mjs
@@ -11,9 +11,8 @@
 const require = createRequire(import.meta.url);
 const {Effect, Scope} = require('effect');
 const {digest, seededRandom} = require('../packages/utils/dist/index.js');
-const {MemoryStore} = require('../packages/standins/dist/index.js');
+const {MemoryStore, VirtualTime} = require('../packages/standins/dist/index.js');
 const {ShardedClaimAuthority, defaultShardCount} = require('../packages/claims/dist/index.js');
-const {VirtualTime} = require('../packages/claims/dist/virtual_time.js');
 
 const baselinesFile = new URL(
   '../packages/claims/__fixtures__/write_baselines.json',
