Simulate segments, trimming, wrong clocks and several shards in histories

Cause: the generated histories had one shard and one clock, and ended before a checkpoint was written.

Ruled out: short periods in every history.

Change: one to three shards; wall clocks that differ by up to 5 s; in a quarter of the histories checkpoints every 4 s, a segment for each finished claim and trimming after 20 s. At the end the shard moves and every caller tries once more. A new control removes the look-up in segments and must show double runs. The workers start once per test file.

Expiry of claims under failures is still not simulated.

--- a/packages/claims/__tests__/at_most_once.test.ts
+++ b/packages/claims/__tests__/at_most_once.test.ts
@@ -11,30 +11,39 @@
 const brokenRuns = 400;
 const partRuns = 250;
 
+// Started once, because loading the sources takes a worker longer than the histories of a small test.
+const workers = Array.from(
+  {length: Math.min(8, Math.max(1, availableParallelism() - 1))},
+  () => new Worker(join(__dirname, 'history_worker.mjs')),
+);
+
+afterAll(() => Promise.all(workers.map(worker => worker.terminate())));
+
 async function runParts(numRuns: number, removed: RemovedPart): Promise<readonly PartResult[]> {
+  const size = Math.min(partRuns, Math.ceil(numRuns / workers.length));
   const parts: Part[] = [];
-  for (let from = 0; from < numRuns; from += partRuns) {
-    parts.push({seed: seed + from, numRuns: Math.min(partRuns, numRuns - from), removed});
+  for (let from = 0; from < numRuns; from += size) {
+    parts.push({seed: seed + from, numRuns: Math.min(size, numRuns - from), removed});
   }
-  const workers = Math.min(parts.length, Math.max(1, availableParallelism() - 1), 8);
-  const results = await Promise.all(Array.from({length: workers}, () => drain(parts)));
+  const results = await Promise.all(workers.map(worker => drain(worker, parts)));
   return results.flat();
 }
 
-async function drain(parts: Part[]): Promise<readonly PartResult[]> {
-  const worker = new Worker(join(__dirname, 'history_worker.mjs'));
+async function drain(worker: Worker, parts: Part[]): Promise<readonly PartResult[]> {
   const results: PartResult[] = [];
   for (let part = parts.shift(); part !== undefined; part = parts.shift()) {
     results.push(await runOn(worker, part));
   }
-  await worker.terminate();
   return results;
 }
 
 function runOn(worker: Worker, part: Part): Promise<PartResult> {
   return new Promise((resolve, reject) => {
     worker.once('error', reject);
-    worker.once('message', resolve);
+    worker.once('message', (result: PartResult) => {
+      worker.off('error', reject);
+      resolve(result);
+    });
     worker.postMessage(part);
   });
 }
@@ -67,6 +76,7 @@
 
   // Guards against checks that cannot fail: without a part of the mechanism the same histories violate them.
   it.each<[RemovedPart, 'doubleRuns' | 'falseNotRuns']>([
+    ['archived-claims', 'doubleRuns'],
     ['durable-append', 'doubleRuns'],
     ['refusal-of-held-keys', 'doubleRuns'],
     ['unknown-after-lost-connection', 'doubleRuns'],
--- a/packages/claims/__tests__/claim_simulation.ts
+++ b/packages/claims/__tests__/claim_simulation.ts
@@ -45,18 +45,18 @@
   private readonly attempts: Attempt[] = [];
 
   constructor(
-    private readonly history: History,
+    readonly history: History,
     private readonly removed: RemovedPart,
   ) {
     for (let index = 0; index < instanceCount; index += 1) this.startInstance();
   }
 
-  /** The shard's owner, as membership says. */
-  owner(): string | undefined {
+  /** The owner of a shard, as membership says. */
+  owner(shard: number): string | undefined {
     const members = this.instances
       .filter(instance => instance.alive && instance.instanceId !== this.awayInstanceId)
       .map(instance => instance.instanceId);
-    return ownerByRendezvous(`shard ${this.history.seed}`, members);
+    return ownerByRendezvous(`shard ${shard} ${this.history.seed}`, members);
   }
 
   /** An instance by its id. */
@@ -86,9 +86,12 @@
     this.time.advance(30_000);
     this.heal();
     this.time.advance(70_000);
+    // Another owner reads what the former one has left in checkpoints and segments.
+    this.awayInstanceId = this.owner(0);
     const keys = [...new Set(this.history.calls.map(step => keyOf(step)))];
     const final = keys.map(key => ({key, state: this.finalState(key)}));
     const unknown = final.filter(({state}) => state === 'unknown' || state === 'in-progress');
+    for (const [index, key] of keys.entries()) this.retryLate(key, index);
     this.stop();
     const blocked = unknown.filter(({key}) => this.deaths === 0 && !this.endsUnknown(key));
     return {
@@ -101,6 +104,11 @@
     };
   }
 
+  /** A caller that comes back when its claim may be in a segment. */
+  private retryLate(key: string, entryIndex: number): void {
+    this.time.run(this.attempt({key}, entryIndex, 'none'));
+  }
+
   /** Whether an attempt lost its response, so that nobody but the target can know its outcome. */
   private endsUnknown(key: string): boolean {
     return this.attempts.some(
@@ -130,7 +138,9 @@
   private startInstance(): void {
     this.started += 1;
     const seed = this.history.seed * 31 + this.started;
-    this.instances.push(new SimulatedInstance(this, `i${this.started}`, seed));
+    const offsets = this.history.clockOffsetsMs;
+    const offsetMs = offsets[this.started % offsets.length] ?? 0;
+    this.instances.push(new SimulatedInstance(this, `i${this.started}`, seed, offsetMs));
   }
 
   private heal(): void {
@@ -197,12 +207,12 @@
   }
 
   private move(step: EventStep): Effect.Effect<void> {
-    const owner = this.owner();
+    const owner = this.owner(0);
     return this.during(step, on => (this.awayInstanceId = on ? owner : undefined));
   }
 
   private pauseOwnerAndMove(step: EventStep): Effect.Effect<void> {
-    const owner = this.instance(this.owner() ?? '') ?? this.serving(0);
+    const owner = this.instance(this.owner(0) ?? '') ?? this.serving(0);
     const both = [owner.pause(step.durationMs / 2), this.move(step)];
     return Effect.all(both, {concurrency: 'unbounded', discard: true});
   }
@@ -222,24 +232,24 @@
 
   private call(step: CallStep): Effect.Effect<void> {
     return Effect.gen(this, function* () {
-      const first = yield* this.attempt(step, step.entry, step.fault);
+      const first = yield* this.attempt({key: keyOf(step)}, step.entry, step.fault);
       if (first === 'run' || step.retry === 'none') return;
       if (step.retry === 'after-replacement') yield* this.replaceAll();
       if (step.retry === 'after-a-while') yield* Effect.sleep(Duration.seconds(5));
       yield* this.ask(keyOf(step), step.entry + 1);
-      yield* this.attempt(step, step.entry + 1, 'none');
+      yield* this.attempt({key: keyOf(step)}, step.entry + 1, 'none');
     });
   }
 
   /** One request of a caller to one entry. */
   private attempt(
-    step: CallStep,
+    {key}: Pick<Attempt, 'key'>,
     entryIndex: number,
     fault: CallStep['fault'],
   ): Effect.Effect<Told> {
     return Effect.gen(this, function* () {
       const entry = this.serving(entryIndex);
-      const attempt: Attempt = {key: keyOf(step), fault, sentAtMs: undefined, runs: 0};
+      const attempt: Attempt = {key, fault, sentAtMs: undefined, runs: 0};
       this.attempts.push(attempt);
       const told = yield* entry.untilDeath(this.serve(entry, attempt, fault));
       if (told === 'died') return 'connection-lost' as const;
@@ -263,7 +273,7 @@
   ): Effect.Effect<Told> {
     return Effect.gen(this, function* () {
       const {key} = attempt;
-      const sendDeadlineAtMs = this.time.nowMs() + sendDeadlineMs;
+      const sendDeadlineAtMs = entry.clock.nowMs() + sendDeadlineMs;
       const decision = yield* entry.session.claim({key, requestDigest: key, sendDeadlineAtMs});
       yield* entry.whileRunning();
       if (decision.decision === 'not-sent') return 'not-run' as const;
@@ -272,7 +282,9 @@
         return decision.answer.state === 'run' ? ('run' as const) : ('unknown' as const);
       }
       const claimId = decision.decision === 'send' ? decision.claimId : 'none';
-      const outcome = yield* this.send(entry, attempt, fault, sendDeadlineAtMs);
+      // The target gets the remaining time, so the entry's clock does not matter to it.
+      const deadlineAtMs = this.time.nowMs() + (sendDeadlineAtMs - entry.clock.nowMs());
+      const outcome = yield* this.send(entry, attempt, fault, deadlineAtMs);
       yield* entry.whileRunning();
       yield* Effect.forkDaemon(entry.untilDeath(entry.session.complete(key, claimId, outcome)));
       return outcome.outcome;
--- a/packages/claims/__tests__/histories.ts
+++ b/packages/claims/__tests__/histories.ts
@@ -1,5 +1,6 @@
 /** Generates histories and sums up what they led to. */
 import * as fc from 'fast-check';
+import {SegmentArchive} from '../src/segment_archive';
 import {ClaimSimulation} from './claim_simulation';
 import type {History, HistoryResult, RemovedPart} from './history_types';
 import {eventKinds, retries, sendFaults} from './history_types';
@@ -29,6 +30,10 @@
     {maxLength: 2},
   ),
   seed: fc.integer({min: 1, max: 2 ** 20}),
+  shards: fc.integer({min: 1, max: 3}),
+  clockOffsetsMs: fc.array(fc.integer({min: -2_500, max: 2_500}), {minLength: 3, maxLength: 3}),
+  // A quarter, because the many checkpoints of such a history take several times as long.
+  shortPeriods: fc.integer({min: 0, max: 3}).map(choice => choice === 0),
 });
 
 /** Runs one history. */
@@ -73,7 +78,17 @@
 }
 
 /** Runs a part. Without a part of the mechanism, all histories are run and their violations counted. */
-export function runPart({seed, numRuns, removed}: Part): PartResult {
+export function runPart(part: Part): PartResult {
+  const {mayHold} = SegmentArchive.prototype;
+  if (part.removed === 'archived-claims') SegmentArchive.prototype.mayHold = () => false;
+  try {
+    return runHistories(part);
+  } finally {
+    SegmentArchive.prototype.mayHold = mayHold;
+  }
+}
+
+function runHistories({seed, numRuns, removed}: Part): PartResult {
   let total = noResult;
   const property = fc.property(histories, history => {
     const result = resultOf(history, removed);
--- a/packages/claims/__tests__/history_types.ts
+++ b/packages/claims/__tests__/history_types.ts
@@ -64,11 +64,20 @@
   readonly calls: readonly CallStep[];
   readonly events: readonly EventStep[];
   readonly seed: number;
+  readonly shards: number;
+  /** Difference of each instance's wall clock from the true time, in milliseconds. */
+  readonly clockOffsetsMs: readonly number[];
+  /** Checkpoints, segments and trimming within seconds instead of hours. */
+  readonly shortPeriods: boolean;
 }
 
 /** Parts of the mechanism that a test removes to show that the checks notice. */
 export type RemovedPart =
-  'nothing' | 'durable-append' | 'refusal-of-held-keys' | 'unknown-after-lost-connection';
+  | 'nothing'
+  | 'archived-claims'
+  | 'durable-append'
+  | 'refusal-of-held-keys'
+  | 'unknown-after-lost-connection';
 
 /** What a history led to. */
 export interface HistoryResult {
--- a/packages/claims/__tests__/simulated_instance.ts
+++ b/packages/claims/__tests__/simulated_instance.ts
@@ -5,10 +5,11 @@
  */
 import type {PlatformStore, StoreWriteError} from '@cuminsill/store';
 import {StoreAmbiguousError} from '@cuminsill/store';
+import type {TimeSource} from '@cuminsill/utils';
 import {seededRandom} from '@cuminsill/utils';
 import {Deferred, Duration, Effect, Exit, Scope} from 'effect';
 import type {ClaimAnswer, CompleteAnswer} from '../src';
-import {ClaimSession, ClaimTransportError, ShardedClaimAuthority} from '../src';
+import {ClaimSession, ClaimTransportError, ShardedClaimAuthority, shardOfKey} from '../src';
 import type {ClaimSimulation} from './claim_simulation';
 import type {NetworkFault} from './history_types';
 
@@ -16,6 +17,15 @@
 const slowMessageMs = 2_500;
 const lateWriteMs = 1_500;
 
+// Far above the longest pause and the latest write of a history, as the hour is in operation.
+const shortPeriods = {
+  intervalMs: 4_000,
+  records: 1,
+  longestMs: 4_000,
+  segmentBytes: 1,
+  trimAgeMs: 20_000,
+};
+
 /** An instance that can be paused and killed. */
 export class SimulatedInstance {
   alive = true;
@@ -23,6 +33,8 @@
   claimsOwnership = false;
   authority!: ShardedClaimAuthority;
   session!: ClaimSession;
+  /** The instance's clock, which may be wrong. */
+  readonly clock: TimeSource;
   private readonly scope = Effect.runSync(Scope.make());
   private readonly death = Effect.runSync(Deferred.make<void>());
   private resumed = Effect.runSync(Deferred.make<void>());
@@ -31,20 +43,33 @@
     private readonly simulation: ClaimSimulation,
     readonly instanceId: string,
     seed: number,
+    clockOffsetMs: number,
   ) {
     Effect.runSync(Deferred.succeed(this.resumed, undefined));
-    const time = simulation.time;
-    const common = {instanceId, time, random: seededRandom(seed)};
-    const ownerOf = () => (this.claimsOwnership ? instanceId : simulation.owner());
+    const {time} = simulation;
+    const {shards: shardCount} = simulation.history;
+    this.clock = {
+      nowMs: () => time.nowMs() + clockOffsetMs,
+      monotonicMs: () => time.monotonicMs(),
+    };
+    const common = {instanceId, time: this.clock, random: seededRandom(seed)};
+    const ownerOf = (shard: number) =>
+      this.claimsOwnership ? instanceId : simulation.owner(shard);
     const makeBoth = Effect.gen(this, function* () {
       const store = this.pausableStore();
+      const checkpoints = simulation.history.shortPeriods ? shortPeriods : {};
       this.authority = yield* ShardedClaimAuthority.make({
         ...common,
         store,
         ownerOf,
-        shardCount: 1,
+        shardCount,
+        checkpoints,
+      });
+      this.session = yield* ClaimSession.make({
+        ...common,
+        ownerOf: key => ownerOf(shardOfKey(key, shardCount)),
+        transport: this.transport(),
       });
-      this.session = yield* ClaimSession.make({...common, ownerOf, transport: this.transport()});
     });
     time.run(makeBoth.pipe(Scope.extend(this.scope)));
   }
