Restart a claim shard after a defect

Cause: an exception in the fiber of a shard ended the shard until the process was restarted.

Ruled out: going on with the state in memory, which may be half changed.

Change: the shard answers what waits as unavailable, forgets its state and replays after 1 s, doubling to 60 s. It logs the changes between serving and failed and counts defects. A record that was appended before the defect stays in the log; the takeover makes its claims unknown.

Conclusion: a shard serves again after the cause of its defect is gone.

--- a/packages/claims/__tests__/claim_shard.test.ts
+++ b/packages/claims/__tests__/claim_shard.test.ts
@@ -1,3 +1,4 @@
+import type {StateChange} from '@cuminsill/logger';
 import type {StoreFault} from '@cuminsill/standins';
 import {Effect} from 'effect';
 import type {ClaimOutcome} from '../src';
@@ -245,6 +246,29 @@
     }
   });
 
+  // Guards against a shard that stays without a fiber after an exception.
+  it('restarts a shard after a defect, logs the change of state and counts it', () => {
+    const states: string[] = [];
+    const logger = {stateChange: (_level: string, {state}: StateChange) => void states.push(state)};
+    const owner = harness.authority('a', {logger});
+    harness.time.run(owner.claim(harness.request('before')));
+    harness.store.setFaultPlan((_kind, key) => {
+      if (key.includes('/log/')) throw new Error('defect');
+      return 'none';
+    });
+    expect(harness.time.run(owner.claim(harness.request('k'))).state).toBe('unavailable');
+    harness.time.advance(2_000);
+    expect(harness.time.run(owner.claim(harness.request('k', 'entry#2'))).state).toBe(
+      'unavailable',
+    );
+    harness.store.setFaultPlan(() => 'none');
+    harness.time.advance(10_000);
+    expect(harness.time.run(owner.claim(harness.request('k', 'entry#3'))).state).toBe('granted');
+    expect(owner.counts()[0]).toMatchObject({defects: 2, takeovers: 2});
+    // Two defects without a successful round between them are one change of state.
+    expect(states).toEqual(['failed', 'serving']);
+  });
+
   // Guards against two numbers of shards, which would map a key to two logs.
   it('refuses claims when its number of shards differs from the deployment', () => {
     harness.time.run(harness.authority('a').claim(harness.request('k')));
--- a/packages/claims/src/claim_authority.ts
+++ b/packages/claims/src/claim_authority.ts
@@ -2,13 +2,14 @@
  * The owner's side of all claim shards. Membership says which shards this instance owns; a wrong answer of
  * membership costs a takeover and cannot break the promise, because the shard's log decides.
  */
+import type {Logger} from '@cuminsill/logger';
 import type {PlatformStore} from '@cuminsill/store';
 import {StoreLog} from '@cuminsill/store';
 import type {RandomSource, TimeSource} from '@cuminsill/utils';
 import {hash32} from '@cuminsill/utils';
 import {Effect, Either, Schema, Scope} from 'effect';
 import type {CheckpointSettings} from './checkpoint_keeper';
-import type {ClaimShardCounts} from './claim_shard';
+import type {ClaimShardCounts} from './claim_shard_options';
 import {ClaimShard} from './claim_shard';
 import type {
   ClaimAnswer,
@@ -37,6 +38,8 @@
   readonly replyWaitMs?: number;
   /** Largest number of appends per second and shard. */
   readonly maxAppendsPerS?: number;
+  /** Gets the changes of state of shards. Default: none is written. */
+  readonly logger?: Logger;
   /** Periods of checkpoints and segments that differ from the usual ones; for tests. */
   readonly checkpoints?: Partial<CheckpointSettings>;
 }
@@ -121,6 +124,7 @@
       return ClaimShard.start({
         ...this.options,
         log: new StoreLog(store, `claims/${shardNumber}`, time),
+        shardName: `claims/${shardNumber}`,
         segmentStore: new SegmentStore(store, `claims/${shardNumber}`),
         isOwned: () => ownerOf(shardNumber) === instanceId,
       }).pipe(
--- a/packages/claims/src/claim_shard.ts
+++ b/packages/claims/src/claim_shard.ts
@@ -3,6 +3,7 @@
  * at a time. A claim is granted only after its append is durable. A position that another writer has taken ends
  * the ownership: nothing of the batch is granted.
  */
+import {silentLogger} from '@cuminsill/logger';
 import {Duration, Effect, Queue} from 'effect';
 import type {Scope} from 'effect';
 import type {CheckpointCounts} from './checkpoint_keeper';
@@ -10,34 +11,16 @@
 import {defaultCheckpointSettings} from './checkpoint_keeper';
 import type {ShardRecord} from './claim_records';
 import {claimIdOf, encodeShardRecord, toRecordedOutcome} from './claim_records';
+import type {ClaimShardCounts, ClaimShardOptions} from './claim_shard_options';
 import {releasedIdMs} from './claim_table';
 import type {ClaimAnswer, ClaimOutcome, ClaimRequest, CompleteAnswer} from './claim_types';
 import type {PendingQuestion, PendingRequest} from './pending_requests';
 import {AnsweredIds, refuseAll, Reply} from './pending_requests';
-import type {SegmentStore} from './segment_archive';
-import type {ShardAppenderOptions} from './shard_appender';
 import {retryMaxMs, retryMinMs, ShardAppender} from './shard_appender';
+import {ShardRecovery} from './shard_recovery';
 import type {Tenure} from './shard_replay';
 import {archivedAnswer, replayShard} from './shard_replay';
 
-/** Settings and surroundings of a shard's owner. */
-export interface ClaimShardOptions extends ShardAppenderOptions {
-  readonly instanceId: string;
-  readonly segmentStore: SegmentStore;
-  /** Periods of checkpoints and segments that differ from the usual ones. */
-  readonly checkpoints?: Partial<CheckpointSettings>;
-  /** How long a request waits for its append, in milliseconds. Default 2,000. */
-  readonly replyWaitMs?: number;
-}
-
-/** Counters of a shard since the start of the process. */
-export interface ClaimShardCounts extends Readonly<CheckpointCounts> {
-  readonly appends: number;
-  readonly takeovers: number;
-  readonly stepDowns: number;
-  readonly invalidRecords: number;
-}
-
 interface Batch {
   readonly items: readonly PendingRequest[];
   readonly body: Uint8Array;
@@ -66,6 +49,7 @@
   private tenure: Tenure | undefined;
   private readonly answered = new AnsweredIds();
   private readonly appender: ShardAppender;
+  private readonly recovery: ShardRecovery;
   private readonly counted = {takeovers: 0, stepDowns: 0, invalidRecords: 0};
 
   private constructor(
@@ -74,6 +58,8 @@
     private readonly keeperCounts: CheckpointCounts,
   ) {
     this.appender = new ShardAppender(options);
+    const {shardName = 'claims', logger = silentLogger} = options;
+    this.recovery = new ShardRecovery({shardName, logger, reset: () => this.reset()});
   }
 
   /** Starts the shard's fiber in the scope. The log is opened with the first request. */
@@ -88,14 +74,19 @@
         segments: 0,
         removedSegments: 0,
       });
-      yield* Effect.forkScoped(Effect.forever(shard.serveOnce()));
+      yield* Effect.forkScoped(Effect.forever(shard.recovery.guard(shard.serveOnce())));
       return shard;
     });
   }
 
   /** Counters for metrics. */
   counts(): ClaimShardCounts {
-    return {...this.counted, ...this.keeperCounts, appends: this.appender.appends()};
+    return {
+      ...this.counted,
+      ...this.keeperCounts,
+      appends: this.appender.appends(),
+      defects: this.recovery.defects(),
+    };
   }
 
   /** Claims a key; answers after the append is durable, or from what is known. */
@@ -236,6 +227,14 @@
     return refuseAll(queued, 'not-owner');
   }
 
+  /** A batch that was appended stays in the log; the takeover after the next replay makes its claims unknown. */
+  private reset(): Effect.Effect<void> {
+    const waiting = [...this.batch, ...this.queue];
+    [this.batch, this.queue] = [[], []];
+    this.tenure = undefined;
+    return refuseAll(waiting, 'unavailable');
+  }
+
   private open(): Effect.Effect<Tenure | undefined> {
     return this.replay().pipe(
       Effect.flatMap(replayed => this.takeOver(replayed)),
--- a/packages/claims/src/index.ts
+++ b/packages/claims/src/index.ts
@@ -4,4 +4,4 @@
 export * from './claim_types';
 export {claimIdOf, InvalidClaimRecordError, maxKeptBodyBytes} from './claim_records';
 export {retentionMs} from './claim_table';
-export type {ClaimShardCounts} from './claim_shard';
+export type {ClaimShardCounts} from './claim_shard_options';
--- a/packages/control/src/control_daemon.ts
+++ b/packages/control/src/control_daemon.ts
@@ -98,6 +98,7 @@
       random,
       ownerOf: shard => ownerByRendezvous(`claims/${shard}`, claimOwners(membership)),
       shardCount: settings.claimShards,
+      logger,
     });
     const storeAgeMs = () => configSync.storeContactAgeMs() ?? Number.POSITIVE_INFINITY;
     const storeReachable = () => storeAgeMs() < storeReachableMs;
