--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -14,3 +14,4 @@
 export * from './target_fleet';
 export * from './target_mode';
 export * from './instance_settings';
+export * from './virtual_time';
