Sort the candidates of a slot division as numbers

Cause: a division sorted one object per slot and entry with a comparing function; the time grew with slots times members. Scores and indexes are now packed into numbers of 53 bits and sorted without a comparing function.

--- a/packages/steering/__tests__/slot_division.test.ts
+++ b/packages/steering/__tests__/slot_division.test.ts
@@ -2,7 +2,7 @@
 import fc from 'fast-check';
 import {makeConfiguration, makeMembers, makeService, makeTargets} from '../__fixtures__/fleets';
 import type {PoolDivision} from '../src';
-import {divideSlots, RouteTable} from '../src';
+import {divideSlots, orderByScore, RouteTable} from '../src';
 
 const regionIds = ['a', 'b', 'c'];
 const targets = regionIds.flatMap(regionId => makeTargets('s', regionId, 12, 3));
@@ -35,6 +35,33 @@
   return owners;
 }
 
+describe('orderByScore', () => {
+  // Guards against entries that order candidates of equal score differently and so claim the same slot.
+  test('orders like a stable sort by descending score', () => {
+    const scoreArbitrary = fc.oneof(
+      fc.integer({min: 0, max: 3}),
+      fc.constantFrom(0x7fffffff, 0x80000000, 0xffffffff),
+    );
+    const property = fc.property(fc.array(scoreArbitrary, {maxLength: 60}), scores => {
+      const expected = scores
+        .map((score, index) => ({score, index}))
+        .sort((a, b) => b.score - a.score || a.index - b.index)
+        .map(({index}) => index);
+      expect([...orderByScore(Uint32Array.from(scores))]).toEqual(expected);
+    });
+    fc.assert(property, {seed: 24, numRuns: 200});
+  });
+
+  // Guards against an order that loses digits when there are more candidates than can be packed with their scores.
+  test('orders more candidates than fit into one number', () => {
+    const count = 2 ** 21 + 2;
+    const scores = new Uint32Array(count).fill(5);
+    scores[count - 1] = 0xffffffff;
+    const order = orderByScore(scores);
+    expect([order[0], order[1], order[2], order[count - 1]]).toEqual([count - 1, 0, 1, count - 2]);
+  });
+});
+
 describe('divideSlots', () => {
   const members = makeMembers(regionIds, 5);
   const subsetArbitrary = fc.subarray([...members], {minLength: 1});
--- a/packages/steering/src/slot_division.ts
+++ b/packages/steering/src/slot_division.ts
@@ -71,10 +71,23 @@
   return quotas;
 }
 
-interface Candidate {
-  readonly entryIndex: number;
-  readonly slotPosition: number;
-  readonly score: number;
+/** Below this number of candidates a score of 32 bits and an index fit into the 53 bits of a number. */
+const maxPackedCandidates = 2 ** 21;
+
+/** Indexes of the scores from the highest to the lowest; equal scores in the order of their indexes. */
+export function orderByScore(scores: Uint32Array): Uint32Array {
+  const count = scores.length;
+  if (count >= maxPackedCandidates) {
+    return Uint32Array.from(scores.keys()).sort(
+      (a, b) => (scores[b] ?? 0) - (scores[a] ?? 0) || a - b,
+    );
+  }
+  // Numbers sort many times faster than objects with a comparing function.
+  const packed = new Float64Array(count);
+  scores.forEach((score, index) => {
+    packed[index] = (0xffffffff - score) * maxPackedCandidates + index;
+  });
+  return Uint32Array.from(packed.sort(), value => value % maxPackedCandidates);
 }
 
 /** Gives each slot to one entry: pairs in the order of their rendezvous scores, up to each entry's quota. */
@@ -85,20 +98,20 @@
 ): readonly EntrySlots[] {
   const open = slotQuotas(poolKey, slots.length, entries).slice();
   const seeds = entries.map(entry => hash32(entry.instanceId));
-  const candidates: Candidate[] = [];
+  // Candidates are numbered by entry and then by slot, which is also the order of equal scores.
+  const scores = new Uint32Array(entries.length * slots.length);
   slots.forEach((slot, slotPosition) => {
     const slotKey = `${slot.targetId}/${slot.slotIndex}`;
     seeds.forEach((seed, entryIndex) => {
       if (open[entryIndex] === 0) return;
-      candidates.push({entryIndex, slotPosition, score: hash32(slotKey, seed)});
+      scores[entryIndex * slots.length + slotPosition] = hash32(slotKey, seed);
     });
   });
-  candidates.sort(
-    (a, b) => b.score - a.score || a.entryIndex - b.entryIndex || a.slotPosition - b.slotPosition,
-  );
   const taken = new Uint8Array(slots.length);
   const owned: OwnedSlot[][] = entries.map(() => []);
-  for (const {entryIndex, slotPosition} of candidates) {
+  for (const candidate of orderByScore(scores)) {
+    const entryIndex = Math.floor(candidate / slots.length);
+    const slotPosition = candidate % slots.length;
     const slot = slots[slotPosition];
     const quota = open[entryIndex] ?? 0;
     if (slot === undefined || quota === 0 || taken[slotPosition] === 1) continue;
