--- a/packages/config_sync/__tests__/checkpoint.test.ts
+++ b/packages/config_sync/__tests__/checkpoint.test.ts
@@ -14,7 +14,7 @@
 import {ConfigLog} from '../src/config_log';
 import {LargeValues, maxObjectBytes} from '../src/large_value';
 import {decodeSnapshot, encodeChange, SnapshotState} from '../src/snapshot_state';
-import {applyChange, intentChange, SimConfigFleet} from './support/sim_config_fleet';
+import {applyChange, intentChange, SimConfigFleet} from '../../loadtool/src/replay/config_fleet';
 
 jest.setTimeout(60_000);
 
--- a/packages/config_sync/__tests__/config_sync.test.ts
+++ b/packages/config_sync/__tests__/config_sync.test.ts
@@ -6,8 +6,8 @@
  */
 import type {StoreFault} from '@cuminsill/standins';
 import * as fc from 'fast-check';
-import type {ConfigFleetOptions} from './support/sim_config_fleet';
-import {intentChange, SimConfigFleet} from './support/sim_config_fleet';
+import type {ConfigFleetOptions} from '../../loadtool/src/replay/config_fleet';
+import {intentChange, SimConfigFleet} from '../../loadtool/src/replay/config_fleet';
 
 jest.setTimeout(60_000);
 
--- a/packages/loadtool/__tests__/replay.test.ts
+++ b/packages/loadtool/__tests__/replay.test.ts
@@ -1,3 +1,9 @@
+/**
+ * Jest keeps every value that is assigned to a global. Effect assigns each fiber that runs, so traces of hours
+ * would fill the heap without this setting.
+ *
+ * @jest-environment-options {"globalsCleanup": "off"}
+ */
 import {readdirSync, readFileSync} from 'node:fs';
 import {join} from 'node:path';
 import {findingsText, replayTrace} from '../src/replay/replay_trace';
--- a/packages/config_sync/__tests__/support/sim_config_fleet.ts
+++ b/packages/loadtool/src/replay/config_fleet.ts
@@ -1,6 +1,11 @@
 /** A fleet of configuration synchronisations on virtual time, with one store and a network that can fail. */
+import {ConfigSync, ConfigTransportError} from '@cuminsill/config_sync';
+import type {ConfigSyncSettings, SubmitError, SubmitResult} from '@cuminsill/config_sync';
 import {silentLogger, silentMetrics} from '@cuminsill/logger';
+import {VirtualTime} from '@cuminsill/membership/virtual_time';
 import {MemoryStore} from '@cuminsill/standins';
+import type {PlatformStore} from '@cuminsill/store';
+import {StoreUnavailableError} from '@cuminsill/store';
 import type {
   Configuration,
   ConfigurationChange,
@@ -11,15 +16,11 @@
 import {seededRandom} from '@cuminsill/utils';
 import {Duration, Effect, Either, Exit, Scope} from 'effect';
 import type {Fiber} from 'effect';
-import {VirtualTime} from '../../../membership/src/virtual_time';
-import {ConfigSync} from '../../src/config_sync';
-import type {SubmitError} from '../../src/errors';
-import {ConfigTransportError} from '../../src/errors';
-import type {ConfigSyncSettings, SubmitResult} from '../../src/options';
 
 /** Never ends. Effect.never would hold a real timer, which keeps the test process alive. */
 const noAnswer: Effect.Effect<never> = Effect.async<never>(() => undefined);
 
+/** Size, seed and settings of a fleet. */
 export interface ConfigFleetOptions {
   readonly instances: number;
   readonly regions: number;
@@ -27,6 +28,7 @@
   readonly settings?: Partial<ConfigSyncSettings>;
 }
 
+/** One process of an instance. */
 export interface ConfigNode {
   readonly instance: Instance;
   readonly sync: ConfigSync;
@@ -56,6 +58,7 @@
   return {...configuration, version, intents: [...intents, confirmed]};
 }
 
+/** A confirmed drain as the change that makes the given version. */
 export function intentChange(version: number, name: string): ConfigurationChange {
   return {
     version,
@@ -76,12 +79,15 @@
   readonly members: readonly Member[];
 }
 
+/** The fleet. */
 export class SimConfigFleet {
   readonly time = new VirtualTime();
   readonly store = new MemoryStore();
   readonly nodes = new Map<string, ConfigNode>();
   dropRate = 0;
   isCut: (from: Instance, to: Instance) => boolean = () => false;
+  /** True while an instance cannot reach the store. */
+  isStoreCut: (instance: Instance) => boolean = () => false;
   readonly messages = {count: 0, bytes: 0};
   /** Adoptions of a version that is not above the one before, over all instances; must stay empty. */
   readonly reverted: string[] = [];
@@ -114,7 +120,7 @@
     const scope = Effect.runSync(Scope.make());
     const start = ConfigSync.start({
       self: instance,
-      store: this.store,
+      store: cuttable(this.store, () => this.isStoreCut(instance)),
       transport: {
         push: (peer, request) =>
           this.call(instance, peer, node => node.sync.receivePush(request), request.changesJson),
@@ -232,3 +238,20 @@
   if (exit === null) throw new Error('the start did not complete');
   return Effect.runSync(exit);
 }
+
+/** The store as one instance reaches it; a cut refuses calls and loses what a waiting watch finds. */
+function cuttable(store: PlatformStore, isCut: () => boolean): PlatformStore {
+  const check = Effect.suspend(() =>
+    isCut() ? Effect.fail(new StoreUnavailableError({detail: 'cut off'})) : Effect.void,
+  );
+  const guard = <A, E>(call: Effect.Effect<A, E>) => check.pipe(Effect.zipRight(call));
+  return {
+    get: key => guard(store.get(key)),
+    create: (key, value) => guard(store.create(key, value)),
+    update: (key, value, version) => guard(store.update(key, value, version)),
+    remove: (key, version) => guard(store.remove(key, version)),
+    list: (prefix, afterKey, limit) => guard(store.list(prefix, afterKey, limit)),
+    watch: (prefix, afterKey, waitMs) =>
+      guard(store.watch(prefix, afterKey, waitMs)).pipe(Effect.zipLeft(check)),
+  };
+}
