Give back every slot of a request that ends early

Cause: found in review, three ways to lose a slot for ever. (1) A read whose deadline passed gave its slot back only with a late response, which nobody awaited. (2) A slot granted in the moment in which the caller goes away was dropped with the interrupted wait. (3) An answer that arrived between two steps of an interrupted fiber was dropped with its slot. Also, a claim granted in the moment of its time-out was neither sent nor withdrawn. Change: attempts run in an uninterruptible region and are interruptible only where a finaliser covers them; the claim session itself is bounded by the send deadline and withdraws.

--- a/packages/claims/src/claim_session.ts
+++ b/packages/claims/src/claim_session.ts
@@ -151,8 +151,12 @@
   }
 
   private askOwners(request: ClaimRequest): Effect.Effect<ClaimAnswer | 'reply-lost'> {
-    return this.untilOwner(request.key, owner =>
-      this.replyOf(this.options.transport.claim(owner, request)),
+    // Without this bound the caller would be answered after its deadline.
+    const leftMs = Math.max(0, request.sendDeadlineAtMs - this.options.time.nowMs());
+    return this.untilOwner(
+      request.key,
+      owner => this.replyOf(this.options.transport.claim(owner, request), leftMs),
+      leftMs,
     ).pipe(Effect.catchAll(() => Effect.succeed('reply-lost' as const)));
   }
 
@@ -202,10 +206,11 @@
   private untilOwner(
     key: string,
     ask: (owner: string) => Effect.Effect<ClaimAnswer, ClaimTransportError>,
+    limitMs = Number.POSITIVE_INFINITY,
   ): Effect.Effect<ClaimAnswer, ClaimTransportError> {
     return Effect.gen(this, function* () {
       const {time, claimWaitMs} = this.options;
-      const endAtMs = time.monotonicMs() + (claimWaitMs ?? defaultClaimWaitMs);
+      const endAtMs = time.monotonicMs() + Math.min(limitMs, claimWaitMs ?? defaultClaimWaitMs);
       let named: string | undefined;
       for (let retryMs = firstRetryMs; ; retryMs *= 2) {
         const owner = named ?? this.options.ownerOf(key);
@@ -222,8 +227,9 @@
 
   private replyOf<A>(
     reply: Effect.Effect<A, ClaimTransportError>,
+    limitMs = Number.POSITIVE_INFINITY,
   ): Effect.Effect<A, ClaimTransportError> {
-    const waitMs = this.options.replyWaitMs ?? defaultReplyWaitMs;
+    const waitMs = Math.min(limitMs, this.options.replyWaitMs ?? defaultReplyWaitMs);
     return Effect.timeoutFail(reply, {
       duration: Duration.millis(waitMs),
       onTimeout: () =>
--- a/packages/entry/__tests__/outcomes.test.ts
+++ b/packages/entry/__tests__/outcomes.test.ts
@@ -1,5 +1,5 @@
 import type {ClaimDecision} from '@cuminsill/claims';
-import {EntryFixture} from '../__fixtures__/entry_fixture';
+import {answerOf, EntryFixture} from '../__fixtures__/entry_fixture';
 import type {Script} from '../__fixtures__/scripted_target';
 import {echoPath} from '../__fixtures__/scripted_target';
 
@@ -221,6 +221,45 @@
   });
 });
 
+describe('the slot of a request', () => {
+  // Guards against slots that are lost for ever, one with each request that ends early.
+  it.each([
+    ['its deadline passed', 'reads', {headers: {'x-request-timeout-ms': '50'}}],
+    ['its caller went away', 'reads', {}],
+  ])('is free again after %s', async (name, service, options) => {
+    let hang = true;
+    await startEntry(
+      [
+        (request, response) => {
+          if (!hang) echoPath(request, response);
+        },
+      ],
+      1,
+    );
+    const request = entry.open(`/svc/${service}/a`, options);
+    request.on('error', () => undefined);
+    const answered = name === 'its deadline passed' ? answerOf(request) : undefined;
+    request.end();
+    await entry.targets[0]?.untilArrived(1);
+    if (answered === undefined) request.destroy();
+    else expect((await answered).headers['x-result-code']).toBe('3004');
+    hang = false;
+    expect((await entry.send(`/svc/${service}/b`)).body).toBe('/b');
+  });
+
+  it('is free again after many callers went away while slots were granted', async () => {
+    await startEntry([echoPath], 1);
+    for (let round = 0; round < 30; round += 1) {
+      const requests = Array.from({length: 4}, (_, index) => entry.open(`/svc/reads/${index}`));
+      for (const request of requests) request.on('error', () => undefined).end();
+      await entry.targets[0]?.untilArrived(1 + round);
+      for (const request of requests) request.destroy();
+    }
+    expect((await entry.send('/svc/reads/last')).body).toBe('/last');
+    expect(entry.steering.loads().every(load => load.inFlight === 0)).toBe(true);
+  });
+});
+
 describe('a target that closes idle connections', () => {
   // Guards against a request that is refused, or suspected, because a pooled connection was stale.
   it('answers the request over a new connection', async () => {
--- a/packages/entry/src/finish_answer.ts
+++ b/packages/entry/src/finish_answer.ts
@@ -4,11 +4,11 @@
 import type {Flight, ForwarderParts} from './forwarder_parts';
 import type {RelayEnd} from './relay_response';
 import {relayResponse} from './relay_response';
-import type {Answered} from './try_targets';
+import type {Answered, Restore} from './try_targets';
 
 /**
  * Relays the response until it ends or the deadline passes; at the deadline both connections are closed, so the caller sees
- * an incomplete response.
+ * an incomplete response. Runs in an uninterruptible region; `restore` says whether the caller's going away ends the relay.
  * @param keepBytes Largest body that the result keeps, in bytes.
  */
 export function finishAnswer(
@@ -16,6 +16,7 @@
   flight: Flight,
   answered: Answered,
   keepBytes: number,
+  restore: Restore,
 ): Effect.Effect<RelayEnd> {
   const {call} = flight;
   const {response, assignment, startedAtMs} = answered;
@@ -27,12 +28,13 @@
   };
   if (status < 500) parts.retryBudget.recordSuccess(call.contract.id);
   const remainingMs = Math.max(0, call.deadlineMs - parts.time.monotonicMs());
-  return relayResponse(response, flight.response, {
+  const relay = relayResponse(response, flight.response, {
     keepBytes,
     headers: {'x-request-id': call.requestId},
     finishWithoutCaller: !call.idempotent,
     remainingMs,
-  }).pipe(
+  });
+  return restore(relay).pipe(
     Effect.map(end => {
       release(resultsOfRelay[end.kind] ?? resultOfStatus(status));
       notePoison(parts, flight, answered, end);
--- a/packages/entry/src/hedged_answer.ts
+++ b/packages/entry/src/hedged_answer.ts
@@ -5,7 +5,7 @@
  */
 import {Effect, Fiber, Option} from 'effect';
 import type {Flight, ForwarderParts} from './forwarder_parts';
-import type {Answered, AttemptsFailed, TryOptions} from './try_targets';
+import type {Answered, AttemptsFailed, Restore, TryOptions} from './try_targets';
 import {tryTargets} from './try_targets';
 
 /** Largest part of the service's slots that may be busy when a hedge is sent. */
@@ -15,6 +15,7 @@
 export function hedgedAnswer(
   parts: ForwarderParts,
   flight: Flight,
+  restore: Restore,
 ): Effect.Effect<Answered, AttemptsFailed> {
   const serviceId = flight.call.contract.id;
   const budget = parts.hedgeBudget;
@@ -24,30 +25,42 @@
   const recordDuration = Effect.sync(() =>
     budget.recordDuration(serviceId, parts.time.monotonicMs() - startedAtMs),
   );
+  const answers: Answered[] = [];
+  const asked: string[] = [];
+  const tryAndKeep = (options: TryOptions) =>
+    tryTargets(parts, flight, restore, options).pipe(
+      Effect.tap(answered => Effect.sync(() => answers.push(answered))),
+    );
+  const discard = (winner?: Answered) =>
+    Effect.sync(() =>
+      discardAnswers(
+        parts,
+        answers.filter(answered => answered !== winner),
+      ),
+    );
   return Effect.gen(function* () {
-    const answers: Answered[] = [];
-    const asked: string[] = [];
-    const tryAndKeep = (options: TryOptions) =>
-      tryTargets(parts, flight, options).pipe(
-        Effect.tap(answered => Effect.sync(() => answers.push(answered))),
-      );
     const first = yield* Effect.fork(
       tryAndKeep({excludedTargetIds: [], onAssigned: targetId => asked.push(targetId)}),
     );
-    const inTime = yield* Fiber.join(first).pipe(
-      delayMs === undefined ? Effect.asSome : Effect.timeoutOption(`${delayMs} millis`),
-    );
+    const stopFirst = Effect.onInterrupt(() => Fiber.interrupt(first).pipe(Effect.zip(discard())));
+    const inTime = yield* restore(
+      Fiber.join(first).pipe(
+        delayMs === undefined ? Effect.asSome : Effect.timeoutOption(`${delayMs} millis`),
+      ),
+    ).pipe(stopFirst);
     if (Option.isSome(inTime)) return inTime.value;
-    if (isBusy(parts, serviceId) || !budget.tryHedge(serviceId)) return yield* Fiber.join(first);
+    if (isBusy(parts, serviceId) || !budget.tryHedge(serviceId)) {
+      return yield* restore(Fiber.join(first)).pipe(stopFirst);
+    }
     parts.metrics.count('hedges.sent', 1, {service: serviceId});
-    const winner = yield* Effect.race(
-      Fiber.join(first).pipe(Effect.onInterrupt(() => Fiber.interrupt(first))),
-      tryAndKeep({excludedTargetIds: asked, onAssigned: () => undefined}),
-    );
-    discardAnswers(
-      parts,
-      answers.filter(answered => answered !== winner),
-    );
+    const second = tryAndKeep({excludedTargetIds: asked, onAssigned: () => undefined});
+    const winner = yield* restore(
+      Effect.race(
+        Fiber.join(first).pipe(Effect.onInterrupt(() => Fiber.interrupt(first))),
+        Effect.uninterruptible(second),
+      ),
+    ).pipe(stopFirst);
+    yield* discard(winner);
     return winner;
   }).pipe(Effect.ensuring(recordDuration));
 }
--- a/packages/entry/src/send_to_target.ts
+++ b/packages/entry/src/send_to_target.ts
@@ -20,7 +20,7 @@
   /** The deadline passed before anything was sent. */
   | {readonly kind: 'timed-out-unsent'}
   /** The deadline passed and the request may have run; `late` waits on for how it ends, if that was asked for. */
-  | {readonly kind: 'timed-out'; readonly late: Effect.Effect<LateEnd>};
+  | {readonly kind: 'timed-out'; readonly late: Effect.Effect<LateEnd> | undefined};
 
 /** How a request ended after its deadline. */
 export type LateEnd =
@@ -98,7 +98,7 @@
     };
     const timer = setTimeout(() => {
       const waitsOn = connected && attempt.lateWaitMs > 0;
-      const late = waitsOn ? lateEnd(request, attempt.lateWaitMs) : Effect.succeed(lost);
+      const late = waitsOn ? lateEnd(request, attempt.lateWaitMs) : undefined;
       if (!waitsOn) request.destroy();
       end(connected ? {kind: 'timed-out', late} : {kind: 'timed-out-unsent'});
     }, attempt.remainingMs);
--- a/packages/entry/src/serve_idempotent.ts
+++ b/packages/entry/src/serve_idempotent.ts
@@ -13,8 +13,10 @@
 ): Effect.Effect<void, ResultError> {
   const isRead = flight.call.method === 'GET' || flight.call.method === 'HEAD';
   const answer = parts.hedging && isRead ? hedgedAnswer : tryTargets;
-  return Effect.matchEffect(answer(parts, flight), {
-    onFailure: failed => Effect.fail(failed.refusal),
-    onSuccess: answered => Effect.asVoid(finishAnswer(parts, flight, answered, 0)),
-  });
+  return Effect.uninterruptibleMask(restore =>
+    Effect.matchEffect(answer(parts, flight, restore), {
+      onFailure: failed => Effect.fail(failed.refusal),
+      onSuccess: answered => Effect.asVoid(finishAnswer(parts, flight, answered, 0, restore)),
+    }),
+  );
 }
--- a/packages/entry/src/serve_once.ts
+++ b/packages/entry/src/serve_once.ts
@@ -8,7 +8,7 @@
 import type {IncomingMessage} from 'node:http';
 import type {ClaimDecision, ClaimOutcome} from '@cuminsill/claims';
 import {ResultError, resultCodes} from '@cuminsill/types';
-import {Duration, Effect, FiberSet} from 'effect';
+import {Effect, FiberSet, identity} from 'effect';
 import {ClaimedRefusal} from './claimed_refusal';
 import {finishAnswer} from './finish_answer';
 import type {Flight, ForwarderParts} from './forwarder_parts';
@@ -42,7 +42,7 @@
   }).pipe(Effect.uninterruptible);
 }
 
-/** Claims the operation; a claim that is not answered by the deadline is withdrawn, and nothing is sent. */
+/** Claims the operation. A claim that is not answered by the deadline is withdrawn by the session, and nothing is sent. */
 function claimInTime(
   parts: ForwarderParts,
   flight: Flight,
@@ -55,14 +55,7 @@
       requestDigest: flight.fingerprint,
       sendDeadlineAtMs: Math.floor(parts.time.nowMs() + remainingMs),
     })
-    .pipe(
-      Effect.interruptible,
-      Effect.timeoutTo({
-        duration: Duration.millis(remainingMs),
-        onSuccess: (decision): ClaimDecision => decision,
-        onTimeout: (): ClaimDecision => ({decision: 'not-sent', reason: 'deadline'}),
-      }),
-    );
+    .pipe(Effect.interruptible);
 }
 
 const notSentRefusals = {
@@ -84,13 +77,13 @@
 ): Effect.Effect<void, ResultError> {
   const report: Report = outcome => reportInBackground(parts, claimed, outcome);
   return Effect.gen(function* () {
-    const answered = yield* tryTargets(parts, flight).pipe(
+    const answered = yield* tryTargets(parts, flight, identity).pipe(
       Effect.tapError(failed => reportFailure(parts, flight, failed, report)),
       // Interrupted while it waited for a slot: every attempt before provably did not run.
       Effect.onInterrupt(() => report({outcome: 'not-run'})),
       Effect.mapError(failed => new ClaimedRefusal(failed.refusal)),
     );
-    const relayed = yield* finishAnswer(parts, flight, answered, keptAnswerBytes);
+    const relayed = yield* finishAnswer(parts, flight, answered, keptAnswerBytes, identity);
     yield* report(runOutcome(answered.response, relayed.keptBody));
   });
 }
--- a/packages/entry/src/try_targets.ts
+++ b/packages/entry/src/try_targets.ts
@@ -49,10 +49,17 @@
 
 const anyTarget: TryOptions = {excludedTargetIds: [], onAssigned: () => undefined};
 
-/** Tries targets until one responds. */
+/** Makes an effect interruptible where the caller's going away may end it. */
+export type Restore = <A, E>(effect: Effect.Effect<A, E>) => Effect.Effect<A, E>;
+
+/**
+ * Tries targets until one responds. Runs in an uninterruptible region, so that no slot is lost between two steps; the wait for a
+ * slot can always be interrupted, an attempt where `restore` allows it.
+ */
 export function tryTargets(
   parts: ForwarderParts,
   flight: Flight,
+  restore: Restore,
   options = anyTarget,
 ): Effect.Effect<Answered, AttemptsFailed> {
   return Effect.gen(function* () {
@@ -62,7 +69,11 @@
       const assignment = yield* assignTarget(parts, flight.call, progress);
       options.onAssigned(assignment.target.id);
       const startedAtMs = parts.time.monotonicMs();
-      const end = yield* attemptTarget(parts, flight, assignment);
+      const end = yield* restore(attemptTarget(parts, flight, assignment)).pipe(
+        Effect.onInterrupt(() =>
+          Effect.sync(() => parts.steering.release(assignment, 'cancelled', 0)),
+        ),
+      );
       const result = classifyAttempt(end, flight.call);
       if (end.kind === 'responded') noteLeaving(parts, end.response, assignment);
       if (end.kind === 'responded' && result !== 'shed') {
@@ -107,6 +118,7 @@
       progress.lostConnections > 0 ? new ResultError(resultCodes.targetFailed) : result;
     return Effect.fail(new AttemptsFailed(refusal));
   };
+  let granted: Assignment | undefined;
   return Effect.suspend(() => {
     const early: (Assignment | ResultError)[] = [];
     let receive = (result: Assignment | ResultError): void => void early.push(result);
@@ -115,10 +127,21 @@
     const [result] = early;
     if (result !== undefined) return answerOf(result);
     return Effect.async<Assignment, AttemptsFailed>(resume => {
-      receive = result => resume(answerOf(result));
+      receive = result => {
+        if (!(result instanceof ResultError)) granted = result;
+        resume(answerOf(result));
+      };
       return Effect.sync(cancel);
     });
-  }).pipe(Effect.interruptible);
+  }).pipe(
+    Effect.interruptible,
+    // The slot may be granted in the moment in which the caller goes away.
+    Effect.onInterrupt(() =>
+      Effect.sync(() => {
+        if (granted !== undefined) parts.steering.release(granted, 'cancelled', 0);
+      }),
+    ),
+  );
 }
 
 /**
@@ -137,9 +160,7 @@
     return Effect.map(sendOnce(parts, flight, assignment, true), second =>
       second.kind === 'connect-failed' ? connectionLost : second,
     );
-  }).pipe(
-    Effect.onInterrupt(() => Effect.sync(() => parts.steering.release(assignment, 'cancelled', 0))),
-  );
+  });
 }
 
 const connectionLost: AttemptEnd = {kind: 'connection-lost', reusedConnection: false};
@@ -178,7 +199,7 @@
 ): Effect.Effect<LateEnd> | undefined {
   const release = () =>
     parts.steering.release(assignment, result, parts.time.monotonicMs() - startedAtMs);
-  if (end.kind !== 'timed-out') {
+  if (end.kind !== 'timed-out' || end.late === undefined) {
     release();
     return undefined;
   }
