Keep the division of pools whose targets and weights are unchanged

Cause: every change of the configuration or of a member's version divided all pools again and blocked the event loop. Change: DivisionMemory returns the last division of a pool with equal inputs; divideSlots stays a pure function, and a property compares both. A change of members still divides every affected pool in one go.

--- a/packages/steering/__tests__/slot_division.test.ts
+++ b/packages/steering/__tests__/slot_division.test.ts
@@ -2,7 +2,7 @@
 import fc from 'fast-check';
 import {makeConfiguration, makeMembers, makeService, makeTargets} from '../__fixtures__/fleets';
 import type {PoolDivision} from '../src';
-import {divideSlots, orderByScore, RouteTable} from '../src';
+import {DivisionMemory, divideSlots, orderByScore, RouteTable} from '../src';
 
 const regionIds = ['a', 'b', 'c'];
 const targets = regionIds.flatMap(regionId => makeTargets('s', regionId, 12, 3));
@@ -74,6 +74,38 @@
     fc.assert(property, {seed: 21, numRuns: 100});
   });
 
+  // Guards against a remembered division that is used after targets, demands or members have changed.
+  test('is the same with the memory of other divisions', () => {
+    const round = fc.record({
+      subset: subsetArbitrary,
+      demands: demandsArbitrary,
+      slots: fc.integer({min: 1, max: 4}),
+      targetCount: fc.integer({min: 1, max: 6}),
+    });
+    const property = fc.property(fc.array(round, {minLength: 2, maxLength: 5}), rounds => {
+      const memory = new DivisionMemory();
+      for (const {subset, demands, slots, targetCount} of [...rounds, ...rounds]) {
+        const configuration = makeConfiguration(
+          regionIds,
+          [makeService('s')],
+          regionIds.flatMap(regionId => makeTargets('s', regionId, targetCount, slots)),
+          {
+            demands: regionIds.map((callerRegionId, index) => ({
+              serviceId: 's',
+              callerRegionId,
+              requestsPerS: demands[index] ?? 0,
+            })),
+          },
+        );
+        const routes = new RouteTable(configuration);
+        expect(divideSlots(configuration, routes, subset, memory)).toEqual(
+          divideSlots(configuration, routes, subset),
+        );
+      }
+    });
+    fc.assert(property, {seed: 25, numRuns: 50});
+  });
+
   test('does not depend on the order of the members', () => {
     const property = fc.property(fc.shuffledSubarray([...members], {minLength: 1}), subset => {
       const sorted = [...subset].sort((a, b) => (a.instance.id < b.instance.id ? -1 : 1));
--- a/packages/steering/src/index.ts
+++ b/packages/steering/src/index.ts
@@ -6,6 +6,7 @@
 export * from './region_assignment';
 export * from './routes';
 export * from './share_ramp';
+export * from './division_memory';
 export * from './slot_division';
 export * from './slot_pool';
 export * from './steering';
--- a/packages/steering/src/slot_directory.ts
+++ b/packages/steering/src/slot_directory.ts
@@ -4,6 +4,7 @@
  */
 import type {Configuration, Member, Target} from '@cuminsill/types';
 import {rankByRendezvous} from '@cuminsill/utils';
+import {DivisionMemory} from './division_memory';
 import type {RouteTable} from './routes';
 import type {HandedSlot} from './slot_division';
 import {divideSlots, slotHolders} from './slot_division';
@@ -20,6 +21,7 @@
 
 /** Tracks the division from one view to the next. */
 export class SlotDirectory {
+  private readonly memory = new DivisionMemory();
   private owners = new Map<string, string>();
   private holdersKey = '';
   private version = -1;
@@ -56,7 +58,8 @@
   ): readonly OwnPool[] {
     const owners = new Map<string, string>();
     const pools: OwnPool[] = [];
-    for (const {serviceId, regionId, entries} of divideSlots(configuration, routes, holders)) {
+    const divisions = divideSlots(configuration, routes, holders, this.memory);
+    for (const {serviceId, regionId, entries} of divisions) {
       const slots: HandedSlot[] = [];
       for (const entry of entries) {
         for (const slot of entry.slots) {
--- a/packages/steering/src/slot_division.ts
+++ b/packages/steering/src/slot_division.ts
@@ -5,6 +5,7 @@
  */
 import type {Configuration, Member, RegionShare, Target} from '@cuminsill/types';
 import {hash32} from '@cuminsill/utils';
+import {DivisionMemory} from './division_memory';
 import type {RouteTable} from './routes';
 import {drainedSites, nearestRegions} from './routes';
 
@@ -193,11 +194,15 @@
   );
 }
 
-/** Divides the slots of every pool among the members that hold slots; drained sites have no slots. */
+/**
+ * Divides the slots of every pool among the members that hold slots; drained sites have no slots.
+ * @param memory Divisions of the last round, from which pools without a change are taken.
+ */
 export function divideSlots(
   configuration: Configuration,
   routes: RouteTable,
   members: readonly Member[],
+  memory = new DivisionMemory(),
 ): readonly PoolDivision[] {
   const holders = slotHolders(members);
   if (holders.length === 0) return [];
@@ -218,8 +223,11 @@
     const {serviceId, regionId} = first;
     const sorted = targets.sort((a, b) => (a.id < b.id ? -1 : 1));
     const entries = traffic.entriesFor(serviceId, regionId);
-    const divided = assignSlots(key, slotsOfTargets(sorted), entries);
+    const divided = memory.divide(key, sorted, entries, () =>
+      assignSlots(key, slotsOfTargets(sorted), entries),
+    );
     pools.push({serviceId, regionId, entries: divided});
   }
+  memory.endRound();
   return pools;
 }
