Let two control processes per region read the platform's list of instances

Change: the two preferred by rendezvous hashing among the reachable instances of the region read it; gossip tells the others. An instance that knows no other one reads it.

--- a/packages/control/src/control_daemon.ts
+++ b/packages/control/src/control_daemon.ts
@@ -15,7 +15,7 @@
 import type {Scope} from 'effect';
 import {Duration, Effect} from 'effect';
 import {meteredClaims, reportControlGauges} from './control_metrics';
-import {InstanceListClient} from './instance_list_client';
+import {InstanceListClient, isListReader} from './instance_list_client';
 import {meteredStore} from './metered_store';
 import {operatorRoutes} from './operator_routes';
 import type {ControlHealth} from './operator_server';
@@ -72,8 +72,9 @@
     const instanceList = new InstanceListClient(
       settings.instanceList,
       settings.instanceListIntervalS,
+      () => isListReader(self, membership.members()),
     );
-    const membership = yield* Membership.start({
+    const membership: Membership = yield* Membership.start({
       self,
       transport: links,
       seedPeers: settings.seeds,
--- a/packages/control/src/instance_list_client.ts
+++ b/packages/control/src/instance_list_client.ts
@@ -1,10 +1,12 @@
 /**
  * The platform's lagging list of instances, read at intervals: `GET /instances` answers a JSON list of
- * `{instance, state}` with state `live` or `leaving`. While it cannot be read, the last list stays.
+ * `{instance, state}` with state `live` or `leaving`. While it cannot be read, the last list stays. Two control
+ * processes per region read it; gossip tells the others, so that the reads do not grow with the fleet.
  */
 import * as http from 'node:http';
 import type {ListedInstance} from '@cuminsill/membership';
-import type {SocketAddress} from '@cuminsill/types';
+import type {Instance, Member, SocketAddress} from '@cuminsill/types';
+import {rankByRendezvous} from '@cuminsill/utils';
 import {decodeJsonOrThrow, Identifier, SocketAddressSchema} from '@cuminsill/validation';
 import {Duration, Effect, Schema} from 'effect';
 
@@ -32,6 +34,7 @@
   constructor(
     private readonly address: SocketAddress | undefined,
     private readonly intervalS: number,
+    private readonly isReader: () => boolean,
   ) {}
 
   /** The list as last read. */
@@ -50,7 +53,7 @@
 
   private refresh(): Effect.Effect<void, unknown> {
     const {address} = this;
-    if (address === undefined) return Effect.void;
+    if (address === undefined || !this.isReader()) return Effect.void;
     return Effect.tryPromise(signal => getText(address, signal)).pipe(
       Effect.map(text => {
         const list = decodeJsonOrThrow('instance list', InstanceListSchema, text);
@@ -78,3 +81,15 @@
     });
   });
 }
+
+const readersPerRegion = 2;
+
+/** Whether an instance reads the list for its region. An instance that knows no other one does. */
+export function isListReader(self: Instance, members: readonly Member[]): boolean {
+  const candidates = members
+    .filter(({instance}) => instance.regionId === self.regionId)
+    .filter(({reachability}) => reachability === 'reachable')
+    .map(({instance}) => instance.id);
+  const ranked = rankByRendezvous(`instance-list/${self.regionId}`, candidates);
+  return ranked.length === 0 || ranked.slice(0, readersPerRegion).includes(self.id);
+}
