--- a/packages/loadtool/src/bin/demo.ts
+++ b/packages/loadtool/src/bin/demo.ts
@@ -60,7 +60,7 @@
 new Command('demo')
   .description('Runs both example deployments and checks every promise.')
   .version(packageVersion())
-  .option('--duration-s <seconds>', 'length of the load', wholeNumber, 18)
+  .option('--duration-s <seconds>', 'length of the load', wholeNumber, 14)
   .addOption(new Option('--deployment <name>', 'run only this one').choices(deploymentNames))
   .option('--rate-percent <number>', 'part of the expected demand', wholeNumber, 60)
   .option('--seed <number>', 'seed of the arrivals', wholeNumber, 1)
