--- a/jest.config.js
+++ b/jest.config.js
@@ -3,6 +3,8 @@
 /** Tests run against the TypeScript sources, so that no build is needed between edit and test. */
 module.exports = {
   rootDir: __dirname,
+  // A busy machine must not change the verdict; a test that hangs still fails.
+  testTimeout: 60_000,
   roots: ['<rootDir>/packages'],
   testMatch: ['**/__tests__/**/*.test.ts'],
   testPathIgnorePatterns: ['/node_modules/', '/dist/'],
