Start the demo's move after 2 s of load

Cause: with 14 s of load the move reached 6.8% and the check of its cap said little; with 12 s it said nothing (0.0%).

--- a/packages/loadtool/src/demo/demo_run.ts
+++ b/packages/loadtool/src/demo/demo_run.ts
@@ -35,6 +35,8 @@
 const rampUpS = 6; // targets start cold and with one slot
 /** Start of the steps after the start of the load; slots that were handed over at the start are in use by then. */
 const stepsAfterMs = 6000;
+/** The move starts earlier, because its ramp takes most of the load's time. */
+const moveAfterMs = 2000;
 const maxTimeoutMs = 10_000; // bounds the end of the load, so that the demo takes less than a minute
 
 /** Runs the demo on one deployment. */
@@ -47,9 +49,9 @@
     const move = makeMove(catalog);
     const [outcome, ...steps] = await Promise.all([
       load(fleet, options),
-      runStep('the move', () => confirmMove(fleet, move)),
-      runStep('the drain and stop of a site', () => drainAndStopSite(fleet)),
-      runStep('the stop of an entry', () => stopLastEntry(fleet)),
+      runStep('the move', moveAfterMs, () => confirmMove(fleet, move)),
+      runStep('the drain and stop of a site', stepsAfterMs, () => drainAndStopSite(fleet)),
+      runStep('the stop of an entry', stepsAfterMs, () => stopLastEntry(fleet)),
     ]);
     const records = await fleet.targetRecords();
     const entryCount = fleet.entries.length;
@@ -66,9 +68,13 @@
 }
 
 /** A step that fails must not hide what the checks find. */
-async function runStep(name: string, step: () => Promise<void>): Promise<PromiseCheck> {
+async function runStep(
+  name: string,
+  afterMs: number,
+  step: () => Promise<void>,
+): Promise<PromiseCheck> {
   try {
-    await setTimeout(stepsAfterMs);
+    await setTimeout(afterMs);
     await step();
     return {name: `${name} is done`, holds: true, detail: ''};
   } catch (error) {
