Place requests so that objects stay where they are known

Three causes there: a first request of a gateway for an object that others had made known counted as work on an unknown one, which shrank the expected gain; a choice cost nothing to the objects it displaced; each region warmed up its own copy.

Change: known and unknown work are told apart by length; an unknown object costs as much again as it takes; an object has at most three targets; near regions share their first choice. Hedges wait for twice the time of an unknown object.

The event queue of the planner's models moves to utils for the new model.

--- /dev/null
+++ b/packages/gateway/__fixtures__/loads.ts
@@ -0,0 +1,45 @@
+/** Loads of the size that the users run, for the model of a service. */
+import type {ServiceLoad} from './service_model';
+
+/** Reading proofs: each region asks for objects of its own, and one region has few targets. */
+export const proofLoad: ServiceLoad = {
+  seed: 1,
+  regions: [
+    {gateways: 3, targets: 6},
+    {gateways: 3, targets: 2},
+    {gateways: 4, targets: 6},
+  ],
+  requestsPerS: 222,
+  durationMs: 20_000,
+  slots: 5,
+  queueLength: 15,
+  keeps: 49,
+  objects: 55,
+  objectsPerRegion: true,
+  workMs: 360,
+  knownSaves: 0.7,
+  betweenRegionsMs: 55,
+  aimMs: 400,
+  deadlineMs: 2_000,
+  startQueue: 0,
+};
+
+/** Asking for free dates: all regions ask for the same objects, and a target knows a third of them at most. */
+export const availabilityLoad: ServiceLoad = {
+  ...proofLoad,
+  regions: [
+    {gateways: 3, targets: 4},
+    {gateways: 3, targets: 4},
+    {gateways: 3, targets: 4},
+  ],
+  requestsPerS: 120,
+  slots: 3,
+  queueLength: 9,
+  keeps: 25,
+  objects: 73,
+  objectsPerRegion: false,
+  workMs: 480,
+  betweenRegionsMs: 12,
+  aimMs: 300,
+  deadlineMs: 2_500,
+};
--- /dev/null
+++ b/packages/gateway/__fixtures__/records.ts
@@ -0,0 +1,42 @@
+/** Records for tests, complete but for what a test sets. */
+import type {RouteRule, TargetRecord} from '../src/gateway_types';
+
+/** A target of service `s` in failure domain `a-1` with five slots. */
+export function targetRecord(changes: Partial<TargetRecord> = {}): TargetRecord {
+  return {
+    id: 't-1',
+    service: 's',
+    address: {host: '127.0.0.1', port: 1},
+    failureDomain: 'a-1',
+    slots: 5,
+    draining: false,
+    coldForMs: 0,
+    startedAtMs: 1,
+    ...changes,
+  };
+}
+
+/** A route of host `h` and prefix `/p/` to service `s`. */
+export function routeRule(changes: Partial<RouteRule> = {}): RouteRule {
+  return {
+    name: 'r',
+    host: 'h',
+    pathPrefix: '/p/',
+    repeat: 'idempotent',
+    timeoutMs: 1_500,
+    targetLatencyMs: 400,
+    priority: 1,
+    maxTargets: 2,
+    homeRegions: [],
+    services: [{service: 's', weight: 1}],
+    ...changes,
+  };
+}
+
+/** Regions of the failure domains that tests use. */
+export const testRegions: ReadonlyMap<string, string> = new Map([
+  ['a-1', 'a'],
+  ['a-2', 'a'],
+  ['b-1', 'b'],
+  ['b-2', 'b'],
+]);
--- /dev/null
+++ b/packages/gateway/__tests__/admission.test.ts
@@ -0,0 +1,40 @@
+import type {AdmissionQuestion} from '../src/admission';
+import {admit} from '../src/admission';
+
+const calm: AdmissionQuestion = {
+  expectedMs: 130,
+  waitMs: 0,
+  remainingMs: 2_000,
+  usefulMs: 400,
+  priority: 1,
+};
+
+describe('admit', () => {
+  const cases: ReadonlyArray<readonly [string, Partial<AdmissionQuestion>, 'send' | 'refuse']> = [
+    ['a free slot is used', {}, 'send'],
+    ['a wait that still answers in time is accepted', {expectedMs: 330, waitMs: 200}, 'send'],
+    ['a wait that makes the answer late is refused', {expectedMs: 530, waitMs: 400}, 'refuse'],
+    [
+      'work that is late by itself is sent to a free slot',
+      {expectedMs: 600, usefulMs: 400},
+      'send',
+    ],
+    ['an answer after the caller left is refused', {expectedMs: 600, remainingMs: 500}, 'refuse'],
+    ['a late request still gets a free slot', {usefulMs: -100}, 'send'],
+    ['a late request does not wait long', {usefulMs: -100, expectedMs: 330, waitMs: 200}, 'refuse'],
+    ['a less urgent route waits less', {expectedMs: 330, waitMs: 200, priority: 4}, 'refuse'],
+  ];
+  /** Guards against queues in which every answer is late, and against refusals while slots are free. */
+  test.each(cases)('%s', (_name, changes, expected) => {
+    expect(admit({...calm, ...changes}).kind).toBe(expected);
+  });
+
+  test('a refusal says when to come back', () => {
+    const refused = admit({...calm, expectedMs: 1_130, waitMs: 1_000});
+    expect(refused).toEqual({kind: 'refuse', retryAfterMs: expect.any(Number) as number});
+    if (refused.kind === 'refuse') {
+      expect(refused.retryAfterMs).toBeGreaterThan(150);
+      expect(refused.retryAfterMs).toBeLessThanOrEqual(1_000);
+    }
+  });
+});
--- /dev/null
+++ b/packages/gateway/__tests__/object_feed.test.ts
@@ -0,0 +1,94 @@
+import {ManualTime} from '@cuminsill/utils';
+import {Effect, Fiber, TestClock, TestContext} from 'effect';
+import type {FeedSink} from '../src/object_feed';
+import {ObjectFeed} from '../src/object_feed';
+import type {ObjectChanges, ObjectList, ObjectSource, SourceFailure} from '../src/object_source';
+import {SourceError} from '../src/object_source';
+
+type Answer = number | SourceFailure;
+
+/** Answers in turn: a revision, or a failure. */
+function scriptedSource(answers: readonly Answer[]) {
+  const calls: string[] = [];
+  let next = 0;
+  const answer = (call: string): Effect.Effect<number, SourceError> =>
+    Effect.suspend(() => {
+      calls.push(call);
+      const given = answers[next] ?? 'unavailable';
+      next += 1;
+      return typeof given === 'number'
+        ? Effect.succeed(given)
+        : Effect.fail(new SourceError(given, 'scripted'));
+    });
+  const source: ObjectSource<string> = {
+    kind: 'things',
+    list: () => Effect.map(answer('list'), revision => ({objects: [], revision})),
+    changesAfter: after =>
+      Effect.map(answer(`after ${after}`), revision => ({
+        changes: [{object: {name: 'x', revision, content: 'x'}, deleted: false}],
+        revision,
+      })),
+  };
+  return {source, calls};
+}
+
+function recordingSink() {
+  const events: string[] = [];
+  const sink: FeedSink<string> = {
+    replace: ({revision}: ObjectList<string>) => events.push(`replace ${revision}`),
+    apply: ({revision}: ObjectChanges<string>) => events.push(`apply ${revision}`),
+    regained: () => events.push('regained'),
+    lost: () => events.push('lost'),
+  };
+  return {sink, events};
+}
+
+function runSteps(answers: readonly Answer[]) {
+  const {source, calls} = scriptedSource(answers);
+  const {sink, events} = recordingSink();
+  const feed = new ObjectFeed(source, {waitMs: 1, gapMs: 1}, sink, new ManualTime(), () => 1);
+  const steps = Effect.gen(function* () {
+    const fiber = yield* Effect.fork(Effect.forEach(answers, () => feed.step()));
+    yield* TestClock.adjust('1 minute');
+    yield* Fiber.join(fiber);
+  });
+  return Effect.runPromise(Effect.provide(steps, TestContext.TestContext)).then(() => ({
+    calls,
+    events,
+  }));
+}
+
+describe('ObjectFeed', () => {
+  const cases: ReadonlyArray<
+    readonly [string, readonly Answer[], readonly string[], readonly string[]]
+  > = [
+    [
+      'a list, then changes from its revision on',
+      [5, 6, 9],
+      ['list', 'after 5', 'after 6'],
+      ['regained', 'replace 5', 'apply 6', 'apply 9'],
+    ],
+    [
+      'a failure keeps the revision, so that no change is missed',
+      [5, 'unavailable', 'unavailable', 7],
+      ['list', 'after 5', 'after 5', 'after 5'],
+      ['regained', 'replace 5', 'lost', 'regained', 'apply 7'],
+    ],
+    [
+      'a lost history leads to a new list',
+      [5, 'history-gone', 20, 21],
+      ['list', 'after 5', 'list', 'after 20'],
+      ['regained', 'replace 5', 'replace 20', 'apply 21'],
+    ],
+    [
+      'a refused rate is no outage',
+      [5, 'rate-limited', 6],
+      ['list', 'after 5', 'after 5'],
+      ['regained', 'replace 5', 'apply 6'],
+    ],
+  ];
+  /** Guards against changes that are missed or taken over twice around failures of the store. */
+  test.each(cases)('%s', async (_name, answers, calls, events) => {
+    expect(await runSteps(answers)).toEqual({calls, events});
+  });
+});
--- /dev/null
+++ b/packages/gateway/__tests__/peer_table.test.ts
@@ -0,0 +1,81 @@
+import {ManualTime} from '@cuminsill/utils';
+import type {GatewayRecord} from '../src/gateway_types';
+import {decodePeerMessage} from '../src/peer_message';
+import {PeerTable, silentAfterMs} from '../src/peer_table';
+
+function record(name: string): GatewayRecord {
+  return {
+    name,
+    region: 'a',
+    failureDomain: 'a-1',
+    callerAddress: {host: '127.0.0.1', port: 1},
+    peerAddress: {host: '127.0.0.1', port: 2},
+  };
+}
+
+function setUp() {
+  const time = new ManualTime();
+  const table = new PeerTable(record('own'), time);
+  const objects = ['own', 'p', 'q'].map(name => ({name, revision: 1, content: record(name)}));
+  table.replace({objects, revision: 1});
+  const serving = () => table.servingOthers().map(({name}) => name);
+  return {time, table, serving};
+}
+
+const beat = {name: 'p', startedAtMs: 100, sequence: 1, state: 'serving'} as const;
+
+describe('PeerTable', () => {
+  test('names a peer once it was heard', () => {
+    const {table, serving} = setUp();
+    expect(serving()).toEqual([]);
+    table.heard(beat);
+    expect(serving()).toEqual(['p']);
+    expect(table.namesInUse()).toEqual(['own', 'p']);
+    expect(table.listedCount()).toBe(3);
+  });
+
+  /** Guards against look-up answers that name a gateway that lost power. */
+  test('stops naming a peer that fell silent', () => {
+    const {time, table, serving} = setUp();
+    table.heard(beat);
+    time.advance(silentAfterMs + 1);
+    expect(serving()).toEqual([]);
+  });
+
+  /** Guards against a late datagram that brings a leaving gateway back into the answers. */
+  test('ignores heartbeats that were overtaken', () => {
+    const {table, serving} = setUp();
+    table.heard({...beat, sequence: 3, state: 'leaving'});
+    table.heard({...beat, sequence: 2});
+    expect(serving()).toEqual([]);
+    table.heard({...beat, startedAtMs: 200, sequence: 1});
+    expect(serving()).toEqual(['p']);
+  });
+
+  test('forgets a peer whose entry is removed', () => {
+    const {table, serving} = setUp();
+    table.heard(beat);
+    const object = {name: 'p', revision: 2, content: undefined};
+    table.apply({revision: 2, changes: [{object, deleted: true}]});
+    expect(serving()).toEqual([]);
+  });
+});
+
+describe('decodePeerMessage', () => {
+  const message = {...beat, suspicions: [{fingerprint: 'f', targetIds: ['t'], untilMs: 5}]};
+  test('reads what a gateway sends', () => {
+    expect(decodePeerMessage(JSON.stringify(message))).toEqual(message);
+  });
+
+  const unreadable: ReadonlyArray<readonly [string, string]> = [
+    ['no JSON', '{'],
+    ['a list', '[]'],
+    ['no name', JSON.stringify({...message, name: undefined})],
+    ['an unknown state', JSON.stringify({...message, state: 'idle'})],
+    ['a negative sequence', JSON.stringify({...message, sequence: -1})],
+    ['a broken suspicion', JSON.stringify({...message, suspicions: [{fingerprint: 'f'}]})],
+  ];
+  test.each(unreadable)('refuses %s', (_name, text) => {
+    expect(decodePeerMessage(text)).toBeUndefined();
+  });
+});
--- /dev/null
+++ b/packages/gateway/__tests__/target_directory.test.ts
@@ -0,0 +1,97 @@
+import {ManualTime} from '@cuminsill/utils';
+import {targetRecord, testRegions} from '../__fixtures__/records';
+import type {TargetRecord} from '../src/gateway_types';
+import type {SourceObject} from '../src/object_source';
+import {lapsedEntryGraceMs, TargetDirectory} from '../src/target_directory';
+
+function object(id: string, changes: Partial<TargetRecord> = {}): SourceObject<TargetRecord> {
+  return {name: id, revision: 1, content: targetRecord({id, ...changes})};
+}
+
+function setUp() {
+  const time = new ManualTime();
+  const events: string[] = [];
+  const directory = new TargetDirectory(testRegions, time, (event, id) => {
+    events.push(`${event} ${id}`);
+  });
+  const usable = () =>
+    directory
+      .ofService('s')
+      .filter(target => target.isAssignable)
+      .map(({id}) => id);
+  return {time, events, directory, usable};
+}
+
+describe('TargetDirectory', () => {
+  test('follows the list and its changes', () => {
+    const {directory, usable, events} = setUp();
+    directory.replace({objects: [object('t-1'), object('t-2')], revision: 1});
+    directory.apply({
+      revision: 2,
+      changes: [
+        {object: object('t-1', {draining: true}), deleted: false},
+        {object: object('t-3'), deleted: false},
+        {object: object('t-2'), deleted: true},
+      ],
+    });
+    expect(usable()).toEqual(['t-3']);
+    expect(events).toEqual(['added t-1', 'added t-2', 'draining t-1', 'added t-3', 'removed t-2']);
+  });
+
+  /** Guards against an outage of the store that empties every service. */
+  test('an entry that lapsed in an outage keeps its target for the time in which it may return', () => {
+    const {time, directory, usable} = setUp();
+    directory.replace({objects: [object('t-1'), object('t-2')], revision: 1});
+    directory.storeRegained(5_000);
+    directory.replace({objects: [], revision: 9});
+    expect(usable()).toEqual(['t-1', 't-2']);
+    time.advance(lapsedEntryGraceMs - 1);
+    directory.apply({revision: 10, changes: [{object: object('t-1'), deleted: false}]});
+    time.advance(1);
+    expect(usable()).toEqual(['t-1']);
+  });
+
+  /** Guards against work for a target that left while one call to the store was cut. */
+  test('after a short interruption a missing entry means that its target is gone', () => {
+    const {directory, usable} = setUp();
+    directory.replace({objects: [object('t-1')], revision: 1});
+    directory.storeRegained(300);
+    directory.replace({objects: [], revision: 9});
+    expect(usable()).toEqual([]);
+  });
+
+  test('an entry that cannot be read names no target and leaves the others', () => {
+    const {directory, usable, events} = setUp();
+    directory.replace({objects: [object('t-1'), object('t-2')], revision: 1});
+    const unreadable = {name: 't-1', revision: 2, content: undefined};
+    directory.apply({revision: 2, changes: [{object: unreadable, deleted: false}]});
+    directory.apply({revision: 3, changes: [{object: unreadable, deleted: false}]});
+    expect(usable()).toEqual(['t-2']);
+    expect(events.filter(event => event === 'unreadable t-1')).toHaveLength(1);
+  });
+
+  /** Guards against beliefs about a former process that are held of its successor with the same id. */
+  test('a new start under the same id forgets what was learned', () => {
+    const {time, directory} = setUp();
+    directory.replace({objects: [object('t-1')], revision: 1});
+    const [target] = directory.ofService('s');
+    target?.objects.used('7', time.monotonicMs());
+    target?.health.connectFailed(time.monotonicMs());
+    const restarted = object('t-1', {startedAtMs: 2, coldForMs: 3_000});
+    directory.apply({revision: 2, changes: [{object: restarted, deleted: false}]});
+    expect(target?.objects.has('7', time.monotonicMs())).toBe(false);
+    expect(target?.health.reachability).toBe('reachable');
+    expect(target?.isCold(time.monotonicMs())).toBe(true);
+  });
+
+  test('a target that moves to another service is a new one', () => {
+    const {directory, usable} = setUp();
+    directory.replace({objects: [object('t-1')], revision: 1});
+    const [former] = directory.ofService('s');
+    const moved = object('t-1', {service: 'other'});
+    directory.apply({revision: 2, changes: [{object: moved, deleted: false}]});
+    expect(former?.isAssignable).toBe(false);
+    expect(usable()).toEqual([]);
+    expect(directory.ofService('other')).toHaveLength(1);
+  });
+});
--- a/packages/gateway/src/caller_server.ts
+++ b/packages/gateway/src/caller_server.ts
@@ -13,6 +13,7 @@
 import {endToEndHeaders} from './hop_headers';
 import type {Served} from './serve_request';
 import {serveRequest} from './serve_request';
+import type {TargetAnswer} from './target_exchange';
 
 /** Largest head that the parser takes; the configured limit is checked afterwards. */
 const maxParsedHeaderBytes = 64 * 1024;
@@ -150,9 +151,17 @@
   for (const [name, value] of headers) response.appendHeader(name, value);
   response.sendDate = false;
   const mayHaveBody = answer.status !== 204 && answer.status !== 304;
-  if (mayHaveBody && response.req.method !== 'HEAD') {
-    response.setHeader('Content-Length', answer.body.length);
-  }
+  if (mayHaveBody && response.req.method !== 'HEAD') frameBody(response, answer);
   response.writeHead(answer.status, answer.statusText);
   response.end(answer.body);
 }
+
+/** A body of unknown completeness is passed on without a length too: with one, a cut body would look complete. */
+function frameBody(response: http.ServerResponse, {framed, body}: TargetAnswer): void {
+  if (framed) {
+    response.setHeader('Content-Length', body.length);
+    return;
+  }
+  response.useChunkedEncodingByDefault = false;
+  response.shouldKeepAlive = false;
+}
--- a/packages/gateway/src/decision_log.ts
+++ b/packages/gateway/src/decision_log.ts
@@ -20,6 +20,8 @@
   readonly requestId: string;
   readonly route: string;
   readonly service: string | undefined;
+  /** Object that the request concerns; undefined when the caller does not say. */
+  readonly objectKey: string | undefined;
   readonly configVersion: number;
   readonly outcome: string;
   readonly status: number;
--- a/packages/gateway/src/forwarding.ts
+++ b/packages/gateway/src/forwarding.ts
@@ -35,9 +35,12 @@
   readonly placement: Placement | undefined;
 }
 
-/** A try takes much longer than expected after this multiple of the expected time. */
-const patienceFactor = 2.5;
-const leastPatienceMs = 200;
+/**
+ * A try takes much longer than expected after this multiple of the time for an object that the target does not know. The
+ * time for a known object is no measure: a target forgets objects, and its answer is then late but on its way.
+ */
+const patienceFactor = 2;
+const leastPatienceMs = 300;
 /** A target in another place may need this long beyond the round trip to accept a connection. */
 const connectSlackMs = 400;
 /** Time in which an overloaded service is worth another try, when nothing better is known. */
@@ -131,8 +134,11 @@
   }
 
   private patience(placement: Placement): Effect.Effect<void> {
-    if (this.forwarded.route.repeat !== 'idempotent') return Effect.never;
-    return Effect.sleep(Math.max(leastPatienceMs, patienceFactor * placement.expectedMs));
+    const {route, service} = this.forwarded;
+    if (route.repeat !== 'idempotent') return Effect.never;
+    const slowestMs = this.parts.timings.of(service).workMs(false) + placement.waitMs;
+    const travelMs = this.parts.latency.roundTripMs(placement.target.failureDomain);
+    return Effect.sleep(Math.max(leastPatienceMs, patienceFactor * slowestMs + travelMs));
   }
 
   /** An answer of use to the caller, or the failure of this try. */
--- a/packages/gateway/src/placement.ts
+++ b/packages/gateway/src/placement.ts
@@ -52,6 +52,15 @@
 const failureCostFactor = 2;
 /** A failing target that may still be tried counts as slower by at least this. */
 const failureBaseMs = 400;
+/** Targets among which an object moves as their load changes; at others it counts as unknown. */
+const homesPerObject = 3;
+/**
+ * An object that a target learns makes it forget another, which then costs as much again, and the longer work makes all
+ * others at the target wait. Multiple of the work that knowing saves.
+ */
+const displacementFactor = 1;
+/** A target in another region is near when the round trip is at most this part of what knowing the object saves. */
+const nearShareOfGain = 0.3;
 /** Keeps the order of choices equal at all gateways while targets look alike. */
 const rankStepMs = 4;
 
@@ -62,13 +71,13 @@
   view: PlacementView,
 ): Placement | undefined {
   const usable = targets.filter(target => isUsable(target, request, view));
-  const ranks = rankTargets(request.objectKey, usable, view.ownRegion);
-  let best: Placement | undefined;
+  const ranks = rankTargets(request.objectKey, usable, view);
+  let best: Candidate | undefined;
   for (const target of usable) {
-    const placement = expect(target, ranks.get(target.id) ?? 0, request, view);
-    if (best === undefined || placement.expectedMs < best.expectedMs) best = placement;
+    const candidate = consider(target, ranks.get(target.id) ?? 0, request, view);
+    if (best === undefined || candidate.costMs < best.costMs) best = candidate;
   }
-  return best;
+  return best?.placement;
 }
 
 function isUsable(target: Target, request: PlacementRequest, view: PlacementView): boolean {
@@ -83,40 +92,55 @@
 }
 
 /**
- * Rank of each target for the object, 0 for the first choice. Each region has a first choice of its own, because the callers
- * of a region ask for objects of that region.
+ * Rank of each target for the object, 0 for the first choice. Near targets go first: those of the gateway's region, and
+ * others when the way there is short against what knowing the object saves.
  */
 function rankTargets(
   objectKey: string | undefined,
   targets: readonly Target[],
-  ownRegion: string,
+  view: PlacementView,
 ): ReadonlyMap<string, number> {
   if (objectKey === undefined) return new Map();
   const weighted = targets
     .map(target => ({target, weight: hash32(`${target.id}/${objectKey}`)}))
     .sort((a, b) => b.weight - a.weight);
-  const local = weighted.filter(({target}) => target.region === ownRegion);
-  const remote = weighted.filter(({target}) => target.region !== ownRegion);
-  return new Map([...local, ...remote].map(({target}, rank) => [target.id, rank]));
+  const near = weighted.filter(({target}) => isNear(target, view));
+  const far = weighted.filter(({target}) => !isNear(target, view));
+  return new Map([...near, ...far].map(({target}, rank) => [target.id, rank]));
+}
+
+function isNear(target: Target, {ownRegion, latency, timing}: PlacementView): boolean {
+  if (target.region === ownRegion) return true;
+  const gainMs = timing.workMs(false) - timing.workMs(true);
+  return latency.roundTripMs(target.failureDomain) <= gainMs * nearShareOfGain;
+}
+
+interface Candidate {
+  readonly placement: Placement;
+  /** Expected time, and what the choice takes from other requests. */
+  readonly costMs: number;
 }
 
-function expect(
+function consider(
   target: Target,
   rank: number,
   request: PlacementRequest,
   view: PlacementView,
-): Placement {
+): Candidate {
   const {nowMs, timing} = view;
   const {objectKey} = request;
-  const knowsObject =
-    objectKey !== undefined && (rank === 0 || target.objects.has(objectKey, nowMs));
+  const isHome = objectKey !== undefined && rank < homesPerObject;
+  const knowsObject = isHome && (rank === 0 || target.objects.has(objectKey, nowMs));
   const workMs = timing.workMs(knowsObject) * target.health.slownessNow(nowMs);
   const waitMs = expectedWaitMs(target, workMs, nowMs);
   const failureRate = target.health.failureRate(nowMs);
   const failureMs = failureRate * (failureBaseMs + failureCostFactor * workMs);
   const roundTripMs = view.latency.roundTripMs(target.failureDomain);
-  const expectedMs = roundTripMs + workMs + waitMs + failureMs + rank * rankStepMs;
-  return {target, expectedMs, waitMs, knowsObject};
+  const expectedMs = roundTripMs + workMs + waitMs + failureMs;
+  const gainMs = timing.workMs(false) - timing.workMs(true);
+  const displacedMs = knowsObject || objectKey === undefined ? 0 : gainMs * displacementFactor;
+  const costMs = expectedMs + displacedMs + rank * rankStepMs;
+  return {placement: {target, expectedMs, waitMs, knowsObject}, costMs};
 }
 
 function expectedWaitMs(target: Target, workMs: number, nowMs: number): number {
--- a/packages/gateway/src/serve_request.ts
+++ b/packages/gateway/src/serve_request.ts
@@ -145,6 +145,7 @@
       requestId: this.requestId ?? 'none',
       route,
       service,
+      objectKey: parts.wire.readCaller(this.incoming.headers).objectKey,
       configVersion: parts.configuration.version,
       outcome,
       status: statusOf(answer),
--- a/packages/gateway/src/target_exchange.ts
+++ b/packages/gateway/src/target_exchange.ts
@@ -21,6 +21,8 @@
   readonly statusText: string;
   readonly rawHeaders: readonly string[];
   readonly body: Buffer;
+  /** False when the body had no length and ended with its connection, so that nothing shows whether it is complete. */
+  readonly framed: boolean;
   readonly head: TargetHead;
 }
 
@@ -222,7 +224,10 @@
   const head = exchange.wire.readTarget(response);
   const status = response.statusCode ?? 0;
   const statusText = response.statusMessage ?? '';
-  const answer: TargetAnswer = {status, statusText, rawHeaders: response.rawHeaders, body, head};
+  const {rawHeaders, headers} = response;
+  const framed =
+    headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
+  const answer: TargetAnswer = {status, statusText, rawHeaders, body, framed, head};
   const lost = (detail: string): ExchangeEnd => ({kind: 'lost', detail, reusedConnection: false});
   if (head.requestId !== undefined && head.requestId !== exchange.request.requestId) {
     return lost('answer to another request');
@@ -230,6 +235,6 @@
   if (head.notExecuted || head.wrongTarget) return {kind: 'declined', answer};
   if (head.requestId === undefined) return lost('answer without a request id');
   if (!head.signed) return lost('unsigned answer');
-  if (response.headers['content-encoding'] !== undefined) return lost('encoded body');
+  if (headers['content-encoding'] !== undefined) return lost('encoded body');
   return {kind: 'answered', answer, firstByteMs};
 }
--- a/packages/gateway/src/target_learning.ts
+++ b/packages/gateway/src/target_learning.ts
@@ -69,7 +69,8 @@
   const knewObject = objectKey !== undefined && target.objects.has(objectKey, nowMs);
   const expectedMs = timing.workMs(knewObject);
   if (workMs >= leastWorkMs) target.health.answered(nowMs, workMs / expectedMs);
-  if (workMs >= leastWorkMs && !target.isCold(nowMs)) timing.observe(workMs, knewObject);
+  const waited = placement.waitMs > 0 || (end.answer.head.load?.waiting ?? 0) > 0;
+  if (workMs >= leastWorkMs && !waited && !target.isCold(nowMs)) timing.observe(workMs);
   if (objectKey !== undefined) target.objects.used(objectKey, nowMs);
 }
 
--- a/packages/planner/src/measure/hedging_model.ts
+++ b/packages/planner/src/measure/hedging_model.ts
@@ -5,7 +5,7 @@
 import {HedgeBudget} from '@cuminsill/steering';
 import {randomBelow, seededRandom} from '@cuminsill/utils';
 import type {RandomSource} from '@cuminsill/utils';
-import {EventQueue} from './event_queue';
+import {EventQueue} from '@cuminsill/utils';
 
 /** Whether a slow attempt is slow because of the target or because of the request. */
 export type SlowCause = 'target' | 'request';
--- a/packages/planner/src/measure/poison_model.ts
+++ b/packages/planner/src/measure/poison_model.ts
@@ -5,7 +5,7 @@
 import {PoisonGuard} from '@cuminsill/steering';
 import {ManualTime, randomBelow, seededRandom} from '@cuminsill/utils';
 import type {RandomSource} from '@cuminsill/utils';
-import {EventQueue} from './event_queue';
+import {EventQueue} from '@cuminsill/utils';
 
 /** One run of the model. */
 export interface PoisonCase {
--- a/packages/utils/src/index.ts
+++ b/packages/utils/src/index.ts
@@ -1,4 +1,5 @@
 export * from './json_fields';
+export * from './event_queue';
 /** Small tools without knowledge of traffic steering. */
 export * from './hash';
 export * from './random';
