Judge waits by the usual work and let load reports age with it

The model with the archive's load shows why: reported load halved in 250 ms while work takes 1,440 ms, so full targets looked free and objects moved; waits were counted with the time of known objects; the bounds between known and unknown work, set for short work, put all of the archive's into one group. From full queues no request was in time after 30 s.

Hedges wait for three times the work and take only free slots (386 of 862 tries of the archive were cancelled hedges).

--- a/packages/gateway/__fixtures__/baseline_policies.ts
+++ b/packages/gateway/__fixtures__/baseline_policies.ts
@@ -5,8 +5,8 @@
 import type {Policy} from './service_model';
 
 /** Fewest requests at the target, by its own reports. */
-export const leastLoaded: Policy = (request, targets, {nowMs}) =>
-  lowest(targets, request.triedIds, target => target.load.estimate(nowMs));
+export const leastLoaded: Policy = (request, targets, {nowMs, timing}) =>
+  lowest(targets, request.triedIds, target => target.load.estimate(nowMs, timing.meanWorkMs()));
 
 /** Fewest requests of this gateway at the target, and among those the first choice of the object. */
 export const leastInFlightWithHash: Policy = (request, targets, {ownRegion}) =>
--- a/packages/gateway/__fixtures__/loads.ts
+++ b/packages/gateway/__fixtures__/loads.ts
@@ -43,3 +43,22 @@
   aimMs: 300,
   deadlineMs: 2_500,
 };
+
+/** Pulls from the archive: long work, callers that accept a long wait, and little room in one region. */
+export const archiveLoad: ServiceLoad = {
+  ...proofLoad,
+  regions: [
+    {gateways: 3, targets: 6},
+    {gateways: 3, targets: 2},
+    {gateways: 4, targets: 4},
+  ],
+  requestsPerS: 32,
+  durationMs: 35_000,
+  slots: 3,
+  queueLength: 9,
+  keeps: 25,
+  objects: 24,
+  workMs: 1_440,
+  aimMs: 1_000,
+  deadlineMs: 4_000,
+};
--- a/packages/gateway/src/forwarding.ts
+++ b/packages/gateway/src/forwarding.ts
@@ -39,7 +39,7 @@
  * A try takes much longer than expected after this multiple of the time for an object that the target does not know. The
  * time for a known object is no measure: a target forgets objects, and its answer is then late but on its way.
  */
-const patienceFactor = 2;
+const patienceFactor = 3;
 const leastPatienceMs = 300;
 /** A target in another place may need this long beyond the round trip to accept a connection. */
 const connectSlackMs = 400;
@@ -181,6 +181,8 @@
     if (!this.mayRepeat()) return undefined;
     const placement = this.choose();
     if (placement === undefined || placement.expectedMs > this.remainingMs()) return undefined;
+    // A second copy that has to wait takes room from requests that have none yet.
+    if (placement.waitMs > 0) return undefined;
     return this.parts.retries.tryTake(this.forwarded.service) ? placement : undefined;
   }
 
--- a/packages/gateway/src/placement.ts
+++ b/packages/gateway/src/placement.ts
@@ -59,6 +59,11 @@
  * others at the target wait. Multiple of the work that knowing saves.
  */
 const displacementFactor = 1;
+/**
+ * A target without a free slot learns an object only if no other choice is left. When all targets are full, moving objects
+ * makes all work longer and nobody's wait shorter.
+ */
+const crowdedCostMs = 10_000;
 /** A target in another region is near when the round trip is at most this part of what knowing the object saves. */
 const nearShareOfGain = 0.3;
 /** Keeps the order of choices equal at all gateways while targets look alike. */
@@ -131,20 +136,23 @@
   const {objectKey} = request;
   const isHome = objectKey !== undefined && rank < homesPerObject;
   const knowsObject = isHome && (rank === 0 || target.objects.has(objectKey, nowMs));
-  const workMs = timing.workMs(knowsObject) * target.health.slownessNow(nowMs);
-  const waitMs = expectedWaitMs(target, workMs, nowMs);
+  const slowness = target.health.slownessNow(nowMs);
+  const workMs = timing.workMs(knowsObject) * slowness;
+  const waitMs = expectedWaitMs(target, timing.meanWorkMs() * slowness, nowMs);
   const failureRate = target.health.failureRate(nowMs);
   const failureMs = failureRate * (failureBaseMs + failureCostFactor * workMs);
   const roundTripMs = view.latency.roundTripMs(target.failureDomain);
   const expectedMs = roundTripMs + workMs + waitMs + failureMs;
   const gainMs = timing.workMs(false) - timing.workMs(true);
-  const displacedMs = knowsObject || objectKey === undefined ? 0 : gainMs * displacementFactor;
-  const costMs = expectedMs + displacedMs + rank * rankStepMs;
+  const learns = objectKey !== undefined && !knowsObject;
+  const displacedMs = learns ? gainMs * displacementFactor : 0;
+  const crowdedMs = learns && waitMs > 0 ? crowdedCostMs : 0;
+  const costMs = expectedMs + displacedMs + crowdedMs + rank * rankStepMs;
   return {placement: {target, expectedMs, waitMs, knowsObject}, costMs};
 }
 
 function expectedWaitMs(target: Target, workMs: number, nowMs: number): number {
-  const ahead = target.load.estimate(nowMs);
+  const ahead = target.load.estimate(nowMs, workMs);
   const {slots} = target;
   if (ahead < slots) return 0;
   return ((ahead - slots + 1) / slots) * workMs;
--- a/packages/gateway/src/reported_load.ts
+++ b/packages/gateway/src/reported_load.ts
@@ -4,8 +4,8 @@
  */
 import type {ReportedLoad} from './request_wire';
 
-/** A report says little once the requests that it counted have ended. */
-const reportHalfLifeMs = 250;
+/** A report says little once the requests that it counted have ended: its half-life as a part of the usual work. */
+const halfLifeShareOfWork = 1.2;
 
 /** Tracks the load of one target. */
 export class TargetLoad {
@@ -36,9 +36,13 @@
     this.reportedAtMs = nowMs;
   }
 
-  /** Expected number of requests at the target now, running and waiting. */
-  estimate(nowMs: number): number {
+  /**
+   * Expected number of requests at the target now, running and waiting.
+   * @param workMs Usual time of a request at the target, in milliseconds.
+   */
+  estimate(nowMs: number, workMs: number): number {
     const ageMs = nowMs - this.reportedAtMs;
-    return this.ownInFlight + this.othersAtReport * 2 ** (-ageMs / reportHalfLifeMs);
+    const halfLifeMs = Math.max(1, workMs * halfLifeShareOfWork);
+    return this.ownInFlight + this.othersAtReport * 2 ** (-ageMs / halfLifeMs);
   }
 }
--- a/packages/gateway/src/status_page.ts
+++ b/packages/gateway/src/status_page.ts
@@ -23,6 +23,7 @@
 }
 
 function describe(parts: GatewayParts, target: Target, nowMs: number): object {
+  const workMs = parts.timings.of(target.service).meanWorkMs();
   return {
     id: target.id,
     service: target.service,
@@ -30,7 +31,7 @@
     failureDomain: target.failureDomain,
     state: targetState(parts, target, nowMs),
     inFlight: target.load.inFlight,
-    estimatedLoad: Number(target.load.estimate(nowMs).toFixed(2)),
+    estimatedLoad: Number(target.load.estimate(nowMs, workMs).toFixed(2)),
     failureRate: Number(target.health.failureRate(nowMs).toFixed(2)),
     slowness: Number(target.health.slownessNow(nowMs).toFixed(2)),
   };
--- a/packages/gateway/src/target_learning.ts
+++ b/packages/gateway/src/target_learning.ts
@@ -19,6 +19,8 @@
 
 /** A request without an answer after this multiple of the expected time says that the target is slow. */
 const slowCancelRatio = 1.5;
+/** Times of targets that are slower than this are no measure for their service. */
+const slowTargetRatio = 1.5;
 /** Work shorter than this is not used to judge slowness: the travel time dominates it. */
 const leastWorkMs = 5;
 
@@ -62,15 +64,17 @@
     target.health.failed(nowMs);
     return;
   }
+  const {objectKey} = forwarded.request.head;
   const timing = parts.timings.of(forwarded.service);
   const travelMs = parts.latency.roundTripMs(target.failureDomain);
   const workMs = Math.max(0, end.firstByteMs - travelMs - placement.waitMs);
-  const {objectKey} = forwarded.request.head;
-  const knewObject = objectKey !== undefined && target.objects.has(objectKey, nowMs);
-  const expectedMs = timing.workMs(knewObject);
-  if (workMs >= leastWorkMs) target.health.answered(nowMs, workMs / expectedMs);
-  const waited = placement.waitMs > 0 || (end.answer.head.load?.waiting ?? 0) > 0;
-  if (workMs >= leastWorkMs && !waited && !target.isCold(nowMs)) timing.observe(workMs);
+  if (workMs >= leastWorkMs) {
+    const waited = placement.waitMs > 0 || (end.answer.head.load?.waiting ?? 0) > 0;
+    const slow = target.health.slownessNow(nowMs) >= slowTargetRatio;
+    if (!slow && !target.isCold(nowMs)) timing.observe(workMs, waited);
+    // Only work beyond that on an unknown object says that the target itself is slow.
+    target.health.answered(nowMs, Math.max(1, workMs / timing.workMs(false)));
+  }
   if (objectKey !== undefined) target.objects.used(objectKey, nowMs);
 }
 
