--- a/packages/gateway/src/serve_request.ts
+++ b/packages/gateway/src/serve_request.ts
@@ -11,6 +11,7 @@
 import type {GatewayParts} from './gateway_parts';
 import type {RouteRule} from './gateway_types';
 import type {RouteTable} from './route_table';
+import {targetState} from './status_page';
 
 /** The answer has to reach the caller before it gives up, in milliseconds. */
 const returnTripMs = 15;
@@ -135,7 +136,8 @@
   private note(answer: FinalAnswer | undefined): void {
     const {parts, forwarding, service} = this;
     const route = this.route?.name ?? 'none';
-    const elapsedMs = parts.time.monotonicMs() - this.context.arrivedAtMs;
+    const nowMs = parts.time.monotonicMs();
+    const elapsedMs = nowMs - this.context.arrivedAtMs;
     const outcome = outcomeOf(answer);
     parts.metrics.requestEnded(route, outcome, elapsedMs);
     for (const {end} of forwarding?.record.notes ?? []) parts.metrics.tryEnded(service ?? '', end);
@@ -154,7 +156,8 @@
       ...(placement === undefined
         ? {}
         : {expectedMs: Math.round(placement.expectedMs), waitMs: Math.round(placement.waitMs)}),
-      usableTargets: targets.filter(target => target.isAssignable).length,
+      usableTargets: targets.filter(target => targetState(parts, target, nowMs) === 'usable')
+        .length,
       listedTargets: targets.length,
       storeAgeMs: parts.storeAgeMs(),
       tries: forwarding?.record.notes ?? [],
