--- a/packages/gateway/__fixtures__/service_model.ts
+++ b/packages/gateway/__fixtures__/service_model.ts
@@ -193,7 +193,7 @@
   ): void {
     const nowMs = this.events.nowMs;
     const placement = this.policy(
-      {objectKey, homeRegions: [], triedIds: tried},
+      {objectKey, homeRegions: [], bodyBytes: 0, triedIds: tried},
       gateway.targets,
       this.viewOf(gateway, nowMs),
     );
--- a/packages/gateway/src/forwarding.ts
+++ b/packages/gateway/src/forwarding.ts
@@ -195,6 +195,7 @@
       {
         objectKey: forwarded.request.head.objectKey,
         homeRegions: forwarded.route.homeRegions,
+        bodyBytes: forwarded.request.body.length,
         triedIds: this.record.triedIds,
       },
       parts.targets.ofService(forwarded.service),
--- a/packages/gateway/src/placement.ts
+++ b/packages/gateway/src/placement.ts
@@ -21,6 +21,8 @@
   readonly objectKey: string | undefined;
   /** Regions that may see the request; empty when all may. */
   readonly homeRegions: readonly string[];
+  /** Size of the body, in bytes. */
+  readonly bodyBytes: number;
   /** Targets that this request was sent to before. */
   readonly triedIds: ReadonlySet<string>;
 }
@@ -66,6 +68,8 @@
 const crowdedCostMs = 10_000;
 /** A target in another region is near when the round trip is at most this part of what knowing the object saves. */
 const nearShareOfGain = 0.3;
+/** Bodies of this size stay in their region while it has room: links between regions are narrow. */
+const largeBodyBytes = 16 * 1024;
 /** Keeps the order of choices equal at all gateways while targets look alike. */
 const rankStepMs = 4;
 
@@ -76,7 +80,7 @@
   view: PlacementView,
 ): Placement | undefined {
   const usable = targets.filter(target => isUsable(target, request, view));
-  const ranks = rankTargets(request.objectKey, usable, view);
+  const ranks = rankTargets(request, usable, view);
   let best: Candidate | undefined;
   for (const target of usable) {
     const candidate = consider(target, ranks.get(target.id) ?? 0, request, view);
@@ -101,7 +105,7 @@
  * others when the way there is short against what knowing the object saves.
  */
 function rankTargets(
-  objectKey: string | undefined,
+  {objectKey, bodyBytes}: PlacementRequest,
   targets: readonly Target[],
   view: PlacementView,
 ): ReadonlyMap<string, number> {
@@ -109,13 +113,21 @@
   const weighted = targets
     .map(target => ({target, weight: hash32(`${target.id}/${objectKey}`)}))
     .sort((a, b) => b.weight - a.weight);
-  const near = weighted.filter(({target}) => isNear(target, view));
-  const far = weighted.filter(({target}) => !isNear(target, view));
+  const nearIds = new Set(
+    targets.filter(target => isNear(target, bodyBytes, view)).map(({id}) => id),
+  );
+  const near = weighted.filter(({target}) => nearIds.has(target.id));
+  const far = weighted.filter(({target}) => !nearIds.has(target.id));
   return new Map([...near, ...far].map(({target}, rank) => [target.id, rank]));
 }
 
-function isNear(target: Target, {ownRegion, latency, timing}: PlacementView): boolean {
+function isNear(
+  target: Target,
+  bodyBytes: number,
+  {ownRegion, latency, timing}: PlacementView,
+): boolean {
   if (target.region === ownRegion) return true;
+  if (bodyBytes >= largeBodyBytes) return false;
   const gainMs = timing.workMs(false) - timing.workMs(true);
   return latency.roundTripMs(target.failureDomain) <= gainMs * nearShareOfGain;
 }
