Give a small region's overflow a fixed place

Regions within 40 ms of round trip count as near, and distances are measured before there is traffic.

--- a/packages/gateway/__fixtures__/service_model.ts
+++ b/packages/gateway/__fixtures__/service_model.ts
@@ -47,6 +47,8 @@
   /** In time, by second of arrival, as a share. */
   readonly inAimBySecond: readonly number[];
   readonly knownShare: number;
+  /** Part of the requests of each region that were sent out of it, by span of two seconds. */
+  readonly leftRegion: ReadonlyArray<readonly number[]>;
 }
 
 /** Chooses a target; the product's placement, or a baseline to compare it with. */
@@ -81,6 +83,13 @@
   readonly latency: PathLatency;
 }
 
+interface RegionCounts {
+  readonly sent: number[];
+  readonly left: number[];
+}
+
+/** Span over which the shares of regions are compared. */
+const regionSpanMs = 2_000;
 const localTravelMs = 1;
 const shareOfWorkSpread = 0.15;
 
@@ -100,6 +109,7 @@
   private inAim = 0;
   private late = 0;
   private refused = 0;
+  private readonly sentByRegion: RegionCounts[];
   private knownRuns = 0;
   private runs = 0;
 
@@ -108,6 +118,7 @@
     private readonly policy: Policy,
   ) {
     this.random = seededRandom(load.seed);
+    this.sentByRegion = load.regions.map(() => ({sent: [], left: []}));
     this.build();
   }
 
@@ -124,6 +135,9 @@
         (asked, second) => (this.inAimCounts[second] ?? 0) / Math.max(1, asked),
       ),
       knownShare: this.knownRuns / Math.max(1, this.runs),
+      leftRegion: this.sentByRegion.map(({sent, left}) =>
+        sent.map((count, span) => (left[span] ?? 0) / Math.max(1, count)),
+      ),
     };
   }
 
@@ -212,17 +226,27 @@
       return;
     }
     const {target} = placement;
+    this.countRegion(gateway, target.region, nowMs);
     target.load.started();
     const job = {objectKey, arrivedAtMs, gateway, placement, tried, sentAtMs: nowMs};
     const travelMs = this.travelMs(gateway.region, target.region);
     this.events.after(travelMs, () => this.receive(job));
   }
 
+  private countRegion(gateway: ModelGateway, to: string, nowMs: number): void {
+    const counts = this.sentByRegion[Number(gateway.region.slice(1))];
+    if (counts === undefined) return;
+    const span = Math.floor(nowMs / regionSpanMs);
+    counts.sent[span] = (counts.sent[span] ?? 0) + 1;
+    if (to !== gateway.region) counts.left[span] = (counts.left[span] ?? 0) + 1;
+  }
+
   private viewOf(gateway: ModelGateway, nowMs: number): PlacementView {
     return {
       nowMs,
       ownName: gateway.name,
       ownRegion: gateway.region,
+      ownDemandShare: 1 / this.load.regions.length,
       gatewayNames: [],
       evacuatedDomains: new Set(),
       coldLimit: {requestsPerS: 10},
--- a/packages/gateway/__tests__/placement_under_load.test.ts
+++ b/packages/gateway/__tests__/placement_under_load.test.ts
@@ -68,3 +68,33 @@
   const outcome = playService(busyAvailability, leastLoaded);
   expect(shareAfter(outcome, recoverWithinS(busyAvailability))).toBeLessThan(0.2);
 });
+
+/** Most requests of a region that may change the region in which they run from one span of two seconds to the next. */
+const largestShift = 0.15;
+
+/**
+ * Guards against a small region that fills up and then sends many requests elsewhere at the same moment. The load is that of
+ * a fleet in which one region has a tenth of the targets and a third of the callers.
+ */
+test.each(seeds)('a small region does not move its requests in a rush (seed %i)', seed => {
+  const outcome = playService({
+    ...proofLoad,
+    seed,
+    regions: [
+      {gateways: 8, targets: 43},
+      {gateways: 8, targets: 9},
+      {gateways: 8, targets: 36},
+    ],
+    requestsPerS: 280,
+    slots: 4,
+    keeps: 23,
+    objects: 160,
+    workMs: 911,
+    aimMs: 633,
+    deadlineMs: 4_200,
+  });
+  for (const shares of outcome.leftRegion) {
+    const shifts = shares.slice(1).map((share, span) => Math.abs(share - (shares[span] ?? 0)));
+    expect(Math.max(...shifts)).toBeLessThan(largestShift);
+  }
+});
--- a/packages/gateway/src/forwarding.ts
+++ b/packages/gateway/src/forwarding.ts
@@ -203,6 +203,7 @@
         nowMs: parts.time.monotonicMs(),
         ownName: settings.name,
         ownRegion: settings.region,
+        ownDemandShare: peers.ownRegionShare(),
         gatewayNames: peers.namesInUse(),
         evacuatedDomains: evacuations.evacuatedDomains,
         coldLimit: {requestsPerS: coldRate + settings.bounds.coldSlack},
--- a/packages/gateway/src/path_latency.ts
+++ b/packages/gateway/src/path_latency.ts
@@ -26,6 +26,11 @@
     this.byDomain.set(failureDomain, next);
   }
 
+  /** True once a connection to the failure domain was timed. */
+  isKnown(failureDomain: string): boolean {
+    return this.byDomain.has(failureDomain);
+  }
+
   /** Expected round-trip time in milliseconds. */
   roundTripMs(failureDomain: string): number {
     return this.byDomain.get(failureDomain) ?? this.guess(failureDomain);
--- a/packages/gateway/src/peer_table.ts
+++ b/packages/gateway/src/peer_table.ts
@@ -79,6 +79,12 @@
     return this.others().length + 1;
   }
 
+  /** Part of the listed gateways that are in the own region; gateways stand where callers are. */
+  ownRegionShare(): number {
+    const inRegion = this.others().filter(({region}) => region === this.own.region).length;
+    return (inRegion + 1) / this.listedCount();
+  }
+
   private put({name, content}: SourceObject<GatewayRecord>): void {
     if (content === undefined || content.name !== name) return;
     this.records = new Map(this.records).set(name, content);
--- a/packages/gateway/src/placement.ts
+++ b/packages/gateway/src/placement.ts
@@ -32,6 +32,8 @@
   readonly nowMs: number;
   readonly ownName: string;
   readonly ownRegion: string;
+  /** Part of all callers that are in the gateway's region, between 0 and 1. */
+  readonly ownDemandShare: number;
   readonly gatewayNames: readonly string[];
   readonly evacuatedDomains: ReadonlySet<string>;
   readonly coldLimit: ColdLimit;
@@ -66,8 +68,13 @@
  * makes all work longer and nobody's wait shorter.
  */
 const crowdedCostMs = 10_000;
-/** A target in another region is near when the round trip is at most this part of what knowing the object saves. */
-const nearShareOfGain = 0.3;
+/**
+ * Regions within this round trip share their first choices: the way is lost in the variation of the work. A fixed bound,
+ * because one that followed the measured work would move all objects at once when it crossed a region's distance.
+ */
+const nearRoundTripMs = 40;
+/** Part of all slots that callers need on a busy day. A region with room for its part of that keeps all its objects. */
+const plannedUse = 0.6;
 /** Bodies of this size stay in their region while it has room: links between regions are narrow. */
 const largeBodyBytes = 16 * 1024;
 /** Keeps the order of choices equal at all gateways while targets look alike. */
@@ -80,7 +87,8 @@
   view: PlacementView,
 ): Placement | undefined {
   const usable = targets.filter(target => isUsable(target, request, view));
-  const ranks = rankTargets(request, usable, view);
+  const staysNear = belongsNear(request, targets, view);
+  const ranks = rankTargets(request, staysNear, usable, view);
   let best: Candidate | undefined;
   for (const target of usable) {
     const candidate = consider(target, ranks.get(target.id) ?? 0, request, view);
@@ -102,34 +110,54 @@
 
 /**
  * Rank of each target for the object, 0 for the first choice. Near targets go first: those of the gateway's region, and
- * others when the way there is short against what knowing the object saves.
+ * those of regions close by. For objects beyond the near targets' share, far targets go first.
  */
 function rankTargets(
-  {objectKey, bodyBytes}: PlacementRequest,
+  request: PlacementRequest,
+  staysNear: boolean,
   targets: readonly Target[],
   view: PlacementView,
 ): ReadonlyMap<string, number> {
+  const {objectKey} = request;
   if (objectKey === undefined) return new Map();
   const weighted = targets
     .map(target => ({target, weight: hash32(`${target.id}/${objectKey}`)}))
-    .sort((a, b) => b.weight - a.weight);
-  const nearIds = new Set(
-    targets.filter(target => isNear(target, bodyBytes, view)).map(({id}) => id),
-  );
-  const near = weighted.filter(({target}) => nearIds.has(target.id));
-  const far = weighted.filter(({target}) => !nearIds.has(target.id));
-  return new Map([...near, ...far].map(({target}, rank) => [target.id, rank]));
+    .sort((a, b) => b.weight - a.weight)
+    .map(({target}) => target);
+  const near = weighted.filter(target => isNear(target, request.bodyBytes, view));
+  const far = weighted.filter(target => !isNear(target, request.bodyBytes, view));
+  const ordered = staysNear ? [...near, ...far] : [...far, ...near];
+  return new Map(ordered.map((target, rank) => [target.id, rank]));
 }
 
-function isNear(
-  target: Target,
-  bodyBytes: number,
-  {ownRegion, latency, timing}: PlacementView,
+/**
+ * True when the object's first choice is near. Where near targets have less room than the callers of the region need on a
+ * busy day, a fixed part of the objects belongs elsewhere: moving requests only once the region is full would move many of
+ * them at the same moment, to targets that do not know their objects. Targets that cannot be reached count too, so that
+ * their failures do not move the objects of the others.
+ */
+function belongsNear(
+  {objectKey, bodyBytes}: PlacementRequest,
+  targets: readonly Target[],
+  view: PlacementView,
 ): boolean {
+  if (objectKey === undefined || bodyBytes >= largeBodyBytes) return true;
+  const staying = targets.filter(
+    target => target.isAssignable && !view.evacuatedDomains.has(target.failureDomain),
+  );
+  const nearSlots = slotsOf(staying.filter(target => isNear(target, bodyBytes, view)));
+  const neededSlots = slotsOf(staying) * view.ownDemandShare * plannedUse;
+  return hash32(objectKey) / 2 ** 32 < nearSlots / neededSlots;
+}
+
+function slotsOf(targets: readonly Target[]): number {
+  return targets.reduce((sum, {slots}) => sum + slots, 0);
+}
+
+function isNear(target: Target, bodyBytes: number, {ownRegion, latency}: PlacementView): boolean {
   if (target.region === ownRegion) return true;
   if (bodyBytes >= largeBodyBytes) return false;
-  const gainMs = timing.workMs(false) - timing.workMs(true);
-  return latency.roundTripMs(target.failureDomain) <= gainMs * nearShareOfGain;
+  return latency.roundTripMs(target.failureDomain) <= nearRoundTripMs;
 }
 
 interface Candidate {
--- a/packages/gateway/src/target_prober.ts
+++ b/packages/gateway/src/target_prober.ts
@@ -1,6 +1,7 @@
 /**
  * Finds out whether a target that stopped answering is alive, by making a connection and closing it. That costs the target
- * next to nothing, unlike a health check, which takes a slot.
+ * next to nothing, unlike a health check, which takes a slot. The first connection to each failure domain also tells how far
+ * it is, before requests depend on it.
  */
 import * as net from 'node:net';
 import type {GatewayParts} from './gateway_parts';
@@ -11,9 +12,13 @@
 /** A target that accepts no connection within this time beyond the round trip is down, in milliseconds. */
 const probeTimeoutMs = 400;
 
+/** A connection that tells a distance is tried again after this time, in milliseconds. */
+const measureAgainMs = 1_000;
+
 /** Probes targets that are not reachable. */
 export class TargetProber {
   private timer: NodeJS.Timeout | undefined;
+  private readonly measuredAtMs = new Map<string, number>();
 
   constructor(private readonly parts: GatewayParts) {}
 
@@ -31,14 +36,31 @@
   tick(): void {
     const nowMs = this.parts.time.monotonicMs();
     for (const target of this.parts.targets.all()) {
-      if (!target.isAssignable || !target.health.probeDue(nowMs)) continue;
-      target.health.probeStarted(nowMs);
-      this.probe(target);
+      if (!target.isAssignable) continue;
+      if (target.health.probeDue(nowMs)) {
+        target.health.probeStarted(nowMs);
+        this.probe(target);
+      } else this.measureDistance(target, nowMs);
     }
   }
 
+  private measureDistance({failureDomain, address}: Target, nowMs: number): void {
+    const {latency} = this.parts;
+    const measuredAtMs = this.measuredAtMs.get(failureDomain);
+    if (latency.isKnown(failureDomain)) return;
+    if (measuredAtMs !== undefined && nowMs - measuredAtMs < measureAgainMs) return;
+    this.measuredAtMs.set(failureDomain, nowMs);
+    const socket = net.connect(address);
+    socket.once('error', () => socket.destroy());
+    socket.once('connect', () => {
+      socket.destroy();
+      latency.observe(failureDomain, this.parts.time.monotonicMs() - nowMs);
+    });
+  }
+
   private probe(target: Target): void {
     const {host, port} = target.address;
+    const startedAtMs = this.parts.time.monotonicMs();
     const socket = net.connect({host, port});
     const timeoutMs = probeTimeoutMs + this.parts.latency.roundTripMs(target.failureDomain);
     const timer = setTimeout(() => fail('connect timeout'), timeoutMs);
@@ -51,6 +73,8 @@
     socket.once('connect', () => {
       clearTimeout(timer);
       socket.destroy();
+      const connectMs = this.parts.time.monotonicMs() - startedAtMs;
+      this.parts.latency.observe(target.failureDomain, connectMs);
       this.connected(target);
     });
   }
