--- a/packages/gateway/__fixtures__/service_model.ts
+++ b/packages/gateway/__fixtures__/service_model.ts
@@ -220,6 +220,7 @@
         remainingMs: this.load.deadlineMs - spentMs,
         usefulMs: this.load.aimMs - spentMs,
         priority: 1,
+        spread: 0,
       }).kind === 'send';
     if (!admitted) {
       this.refused += 1;
--- a/packages/gateway/__tests__/admission.test.ts
+++ b/packages/gateway/__tests__/admission.test.ts
@@ -7,6 +7,7 @@
   remainingMs: 2_000,
   usefulMs: 400,
   priority: 1,
+  spread: 0,
 };
 
 describe('admit', () => {
@@ -37,4 +38,14 @@
       expect(refused.retryAfterMs).toBeLessThanOrEqual(1_000);
     }
   });
+
+  /** Guards against refused callers that all come back at the same moment. */
+  test('callers that are refused together come back spread over half of the wait', () => {
+    const waits = [0, 0.25, 0.5, 0.75, 1].map(spread => {
+      const refused = admit({...calm, expectedMs: 1_130, waitMs: 1_000, spread});
+      return refused.kind === 'refuse' ? refused.retryAfterMs : 0;
+    });
+    const [first = 0] = waits;
+    expect(waits).toEqual([1, 1.125, 1.25, 1.375, 1.5].map(factor => first * factor));
+  });
 });
--- a/packages/gateway/src/admission.ts
+++ b/packages/gateway/src/admission.ts
@@ -15,6 +15,8 @@
   readonly usefulMs: number;
   /** Rank among the routes of the service; 0 is the most urgent. */
   readonly priority: number;
+  /** Differs between requests, from 0 to 1: refused callers come back spread over time. */
+  readonly spread: number;
 }
 
 /** The decision. */
@@ -27,20 +29,22 @@
 const shareLostPerRank = 0.12;
 const leastShare = 0.5;
 const leastRetryAfterMs = 150;
+/** Callers come back within this part of the wait after the first of them could. */
+const spreadShare = 0.5;
 
 /** Decides on one request. */
 export function admit(question: AdmissionQuestion): Admission {
   const {expectedMs, waitMs, remainingMs, usefulMs, priority} = question;
   const workMs = expectedMs - waitMs;
-  if (expectedMs > remainingMs) return refuse(expectedMs - remainingMs, waitMs);
+  if (expectedMs > remainingMs) return refuse(expectedMs - remainingMs, question);
   const share = Math.max(leastShare, 1 - shareLostPerRank * priority);
   const acceptableMs = Math.max(workMs * shortWaitShare * share, (usefulMs - workMs) * share);
   if (waitMs <= acceptableMs) return {kind: 'send'};
-  return refuse(waitMs - acceptableMs, waitMs);
+  return refuse(waitMs - acceptableMs, question);
 }
 
-function refuse(excessMs: number, waitMs: number): Admission {
+function refuse(excessMs: number, {waitMs, spread}: AdmissionQuestion): Admission {
   // The queue shrinks as fast as work is done, so the excess is gone after about as long.
-  const retryAfterMs = Math.max(leastRetryAfterMs, Math.min(excessMs, waitMs));
-  return {kind: 'refuse', retryAfterMs};
+  const roomAfterMs = Math.max(leastRetryAfterMs, Math.min(excessMs, waitMs));
+  return {kind: 'refuse', retryAfterMs: roomAfterMs * (1 + spread * spreadShare)};
 }
--- a/packages/gateway/src/forwarding.ts
+++ b/packages/gateway/src/forwarding.ts
@@ -3,6 +3,7 @@
  * longer than expected, and then the first good answer wins. A request that may run only once goes to another target only
  * while every former one provably did not run it.
  */
+import {hash32} from '@cuminsill/utils';
 import {Deferred, Effect} from 'effect';
 import {admit} from './admission';
 import {AttemptRecord, relayedOrUnknown} from './attempt_record';
@@ -166,7 +167,9 @@
     const spentMs = this.parts.time.monotonicMs() - request.arrivedAtMs;
     const usefulMs = route.targetLatencyMs - spentMs;
     const {expectedMs, waitMs} = placement;
-    const admission = admit({expectedMs, waitMs, remainingMs, usefulMs, priority: route.priority});
+    const spread = hash32(request.requestId) / 2 ** 32;
+    const {priority} = route;
+    const admission = admit({expectedMs, waitMs, remainingMs, usefulMs, priority, spread});
     if (admission.kind === 'refuse') {
       this.refusal = ownAnswer('overloaded', admission.retryAfterMs);
       return undefined;
