--- a/packages/entry/src/send_to_target.ts
+++ b/packages/entry/src/send_to_target.ts
@@ -4,6 +4,7 @@
  */
 import * as http from 'node:http';
 import type {Target} from '@cuminsill/types';
+import {connectionHeaders, namedByConnection} from '@cuminsill/utils';
 import {Effect} from 'effect';
 import type {Call} from './call';
 import type {ReplayBody} from './replay_body';
@@ -45,17 +46,8 @@
 
 /** Request headers that concern one connection only, or that this hop sets itself. */
 const hopHeaders: ReadonlySet<string> = new Set([
-  'connection',
-  'expect',
+  ...connectionHeaders,
   'host',
-  'keep-alive',
-  'proxy-authenticate',
-  'proxy-authorization',
-  'proxy-connection',
-  'te',
-  'trailer',
-  'transfer-encoding',
-  'upgrade',
   'x-forwarded-for',
   'x-request-id',
   'x-request-timeout-ms',
@@ -71,14 +63,6 @@
   return copied;
 }
 
-const noNames: ReadonlySet<string> = new Set();
-
-function namedByConnection(value: string | undefined): ReadonlySet<string> {
-  // Usually absent, or an option that names no header.
-  if (value === undefined || value === 'keep-alive' || value === 'close') return noNames;
-  return new Set(value.split(',').map(name => name.trim().toLowerCase()));
-}
-
 /** Sends the request. Interruption closes the connection, which cancels the request at the target. */
 export function sendToTarget(attempt: Attempt): Effect.Effect<AttemptEnd> {
   return Effect.async<AttemptEnd>(resume => {
--- a/packages/gateway/src/hop_headers.ts
+++ b/packages/gateway/src/hop_headers.ts
@@ -1,42 +1,31 @@
-/** Headers that concern one connection only and so are not passed on. */
+/** Copies headers from one hop to the next. */
+import {connectionHeaders, namedByConnection} from '@cuminsill/utils';
 
-const hopHeaders: ReadonlySet<string> = new Set([
-  'connection',
-  'content-length',
-  'expect',
-  'keep-alive',
-  'proxy-authenticate',
-  'proxy-authorization',
-  'proxy-connection',
-  'te',
-  'trailer',
-  'transfer-encoding',
-  'upgrade',
-]);
+/** The body that is passed on is whole, so its length is set anew. */
+const lengthHeader = 'content-length';
 
 /** Headers for the next hop as names and values in turn, without the given ones. */
 export function endToEndHeaders(
   rawHeaders: readonly string[],
   replaced: ReadonlySet<string>,
 ): readonly (readonly [string, string])[] {
-  const named = namedByConnection(rawHeaders);
+  const named = allNamedByConnection(rawHeaders);
   const kept: [string, string][] = [];
   for (let index = 0; index + 1 < rawHeaders.length; index += 2) {
     const name = rawHeaders[index] ?? '';
     const lower = name.toLowerCase();
-    if (hopHeaders.has(lower) || named.has(lower) || replaced.has(lower)) continue;
+    if (connectionHeaders.has(lower) || lower === lengthHeader) continue;
+    if (named.has(lower) || replaced.has(lower)) continue;
     kept.push([name, rawHeaders[index + 1] ?? '']);
   }
   return kept;
 }
 
-function namedByConnection(rawHeaders: readonly string[]): ReadonlySet<string> {
+function allNamedByConnection(rawHeaders: readonly string[]): ReadonlySet<string> {
   const names = new Set<string>();
   for (let index = 0; index + 1 < rawHeaders.length; index += 2) {
     if (rawHeaders[index]?.toLowerCase() !== 'connection') continue;
-    for (const name of (rawHeaders[index + 1] ?? '').split(',')) {
-      names.add(name.trim().toLowerCase());
-    }
+    for (const name of namedByConnection(rawHeaders[index + 1])) names.add(name);
   }
   return names;
 }
