--- /dev/null
+++ b/packages/gateway/__tests__/placement.test.ts
@@ -0,0 +1,170 @@
+import {targetRecord, testRegions} from '../__fixtures__/records';
+import type {TargetRecord} from '../src/gateway_types';
+import {PathLatency} from '../src/path_latency';
+import type {PlacementRequest, PlacementView} from '../src/placement';
+import {placeRequest} from '../src/placement';
+import {ServiceTiming} from '../src/service_timing';
+import {Target} from '../src/target';
+
+const nowMs = 10_000;
+
+function target(id: string, changes: Partial<TargetRecord> = {}): Target {
+  const record = targetRecord({id, ...changes});
+  return new Target(record, testRegions.get(record.failureDomain) ?? '', nowMs);
+}
+
+const request: PlacementRequest = {
+  objectKey: '17',
+  homeRegions: [],
+  bodyBytes: 0,
+  triedIds: new Set(),
+};
+
+function view(changes: Partial<PlacementView> = {}): PlacementView {
+  return {
+    nowMs,
+    ownName: 'g-1',
+    ownRegion: 'a',
+    ownDemandShare: 0.5,
+    gatewayNames: ['g-1'],
+    evacuatedDomains: new Set(),
+    coldLimit: {requestsPerS: 16},
+    timing: new ServiceTiming(),
+    latency: new PathLatency('a-1', testRegions),
+    ...changes,
+  };
+}
+
+interface UseCase {
+  readonly name: string;
+  readonly make: () => Target;
+  readonly request?: Partial<PlacementRequest>;
+  readonly view?: Partial<PlacementView>;
+  readonly usable: boolean;
+}
+
+const useCases: readonly UseCase[] = [
+  {name: 'a target that is ready', make: () => target('t'), usable: true},
+  {name: 'one that is draining', make: () => target('t', {draining: true}), usable: false},
+  {
+    name: 'one that left the list',
+    make: () => {
+      const gone = target('t');
+      gone.remove();
+      return gone;
+    },
+    usable: false,
+  },
+  {
+    name: 'one that cannot be reached',
+    make: () => {
+      const down = target('t');
+      down.health.connectFailed(nowMs);
+      return down;
+    },
+    usable: false,
+  },
+  {
+    name: 'one that this request was sent to',
+    make: () => target('t'),
+    request: {triedIds: new Set(['t'])},
+    usable: false,
+  },
+  {
+    name: 'one in an evacuated failure domain',
+    make: () => target('t', {failureDomain: 'a-2'}),
+    view: {evacuatedDomains: new Set(['a-2'])},
+    usable: false,
+  },
+  {
+    name: 'one outside of the homes',
+    make: () => target('t', {failureDomain: 'b-1'}),
+    request: {homeRegions: ['a']},
+    usable: false,
+  },
+  {
+    name: 'one in a home in another region',
+    make: () => target('t', {failureDomain: 'b-1'}),
+    request: {homeRegions: ['b']},
+    usable: true,
+  },
+  {name: 'a cold one', make: () => target('t', {coldForMs: 3_000}), usable: true},
+  {
+    name: 'a cold one that got a request just now',
+    make: () => {
+      const cold = target('t', {coldForMs: 3_000});
+      cold.coldGate.sent(nowMs - 500);
+      return cold;
+    },
+    usable: false,
+  },
+  {
+    name: 'one that was cold until now',
+    make: () => {
+      const warm = new Target(targetRecord({id: 't', coldForMs: 3_000}), 'a', nowMs - 3_000);
+      warm.coldGate.sent(nowMs - 500);
+      return warm;
+    },
+    usable: true,
+  },
+];
+
+describe('placeRequest', () => {
+  /** Guards against work for targets that leave, are cold, evacuated, or outside of a request's homes. */
+  test.each(useCases)('$name: usable $usable', ({make, usable, ...changes}) => {
+    const placed = placeRequest({...request, ...changes.request}, [make()], view(changes.view));
+    expect(placed !== undefined).toBe(usable);
+  });
+
+  test('an object keeps its target while that has room', () => {
+    const targets = ['t-1', 't-2', 't-3', 't-4'].map(id => target(id));
+    const first = placeRequest(request, targets, view())?.target;
+    for (let sent = 0; sent < 3; sent += 1) first?.load.started();
+    expect(placeRequest(request, targets, view())?.target).toBe(first);
+    expect(placeRequest(request, [...targets].reverse(), view())?.target).toBe(first);
+  });
+
+  /** Guards against gateways that each make another target learn the same object. */
+  test('all gateways of a region make the same first choice', () => {
+    const ids = ['t-1', 't-2', 't-3', 't-4'];
+    const choices = ['g-1', 'g-2', 'g-3'].map(ownName => {
+      const targets = ids.map(id => target(id));
+      return placeRequest(request, targets, view({ownName}))?.target.id;
+    });
+    expect(new Set(choices).size).toBe(1);
+  });
+
+  test('a full first choice is left for a target with free slots', () => {
+    const targets = ['t-1', 't-2', 't-3'].map(id => target(id));
+    const first = placeRequest(request, targets, view())?.target;
+    for (let sent = 0; sent < 40; sent += 1) first?.load.started();
+    const second = placeRequest(request, targets, view());
+    expect(second?.target).not.toBe(first);
+    expect(second?.waitMs).toBe(0);
+  });
+
+  /** Guards against slow or failing targets that keep their objects while others are well. */
+  test.each([
+    ['slow', (bad: Target) => bad.health.givenUp(nowMs, 30)],
+    ['failing', (bad: Target) => [1, 2, 3, 4, 5].forEach(() => bad.health.failed(nowMs))],
+  ])('a %s first choice is left', (_name, spoil) => {
+    const targets = ['t-1', 't-2', 't-3'].map(id => target(id));
+    const first = placeRequest(request, targets, view())?.target;
+    if (first !== undefined) spoil(first);
+    expect(placeRequest(request, targets, view())?.target).not.toBe(first);
+  });
+
+  test('a large body stays in its region although the object belongs elsewhere', () => {
+    const targets = [
+      target('near', {slots: 1}),
+      ...['f-1', 'f-2', 'f-3'].map(id => target(id, {failureDomain: 'b-1', slots: 5_000})),
+    ];
+    const regionOf = (bodyBytes: number) =>
+      ['1', '2', '3', '4', '5', '6'].map(
+        objectKey =>
+          placeRequest({...request, objectKey, bodyBytes}, targets, view())?.target.region,
+      );
+    expect(regionOf(60_000)).toEqual(['a', 'a', 'a', 'a', 'a', 'a']);
+    expect(regionOf(0)).toEqual(['b', 'b', 'b', 'b', 'b', 'b']);
+  });
+});
--- /dev/null
+++ b/packages/gateway/measure/measure_gateway.mjs
@@ -0,0 +1,107 @@
+/**
+ * Slopes of the gateway for docs/CAPACITY.md: processor time of one placement and memory of one target by the number of
+ * targets, processor time of one look-up answer and of one heartbeat by the number of gateways.
+ * Run with `npm run measure:gateway`.
+ */
+import console from 'node:console';
+import {createRequire} from 'node:module';
+import {performance} from 'node:perf_hooks';
+import process from 'node:process';
+
+const require = createRequire(import.meta.url);
+const {placeRequest} = require('../dist/placement.js');
+const {Target} = require('../dist/target.js');
+const {ServiceTiming} = require('../dist/service_timing.js');
+const {PathLatency} = require('../dist/path_latency.js');
+const {answerLookup} = require('../dist/lookup_answers.js');
+const {decodePeerMessage} = require('../dist/peer_message.js');
+
+const regions = new Map([
+  ['a-1', 'a'],
+  ['b-1', 'b'],
+  ['c-1', 'c'],
+]);
+const domains = [...regions.keys()];
+
+function usedHeapBytes() {
+  globalThis.gc?.();
+  return process.memoryUsage().heapUsed;
+}
+
+function record(index) {
+  return {
+    id: `i-${index.toString(16).padStart(10, '0')}`,
+    service: 's',
+    address: {host: '10.0.0.1', port: 1 + (index % 60_000)},
+    failureDomain: domains[index % domains.length],
+    slots: 4,
+    draining: false,
+    coldForMs: 0,
+    startedAtMs: 1,
+  };
+}
+
+/** Microseconds of processor time for one call. */
+function costUs(run, minMs = 300) {
+  run(0);
+  const start = process.cpuUsage();
+  const startMs = performance.now();
+  let calls = 0;
+  while (performance.now() - startMs < minMs) {
+    run(calls);
+    calls += 1;
+  }
+  const {user, system} = process.cpuUsage(start);
+  return (user + system) / calls;
+}
+
+console.log('targets  placement us  bytes/target');
+for (const count of [14, 176, 1_000, 10_000]) {
+  const before = usedHeapBytes();
+  const targets = Array.from({length: count}, (_value, index) => {
+    const target = new Target(record(index), regions.get(domains[index % domains.length]), 0);
+    for (let key = 0; key < 25; key += 1) target.objects.used(String(key), 0);
+    return target;
+  });
+  const bytes = (usedHeapBytes() - before) / count;
+  const view = {
+    nowMs: 1,
+    ownName: 'g',
+    ownRegion: 'a',
+    ownDemandShare: 1 / 3,
+    gatewayNames: ['g'],
+    evacuatedDomains: new Set(),
+    coldLimit: {requestsPerS: 10},
+    timing: new ServiceTiming(),
+    latency: new PathLatency('a-1', regions),
+  };
+  const request = {homeRegions: [], bodyBytes: 0, triedIds: new Set()};
+  const us = costUs(call =>
+    placeRequest({...request, objectKey: String(call % 300)}, targets, view),
+  );
+  console.log(`${String(count).padStart(7)}  ${us.toFixed(1).padStart(12)}  ${bytes.toFixed(0)}`);
+}
+
+console.log('gateways  look-up us');
+for (const count of [10, 87, 1_000, 3_500]) {
+  const fleet = Array.from({length: count}, (_value, index) => ({
+    name: `front-${index}`,
+    region: regions.get(domains[index % domains.length]),
+    failureDomain: domains[index % domains.length],
+    callerAddress: {host: '10.0.0.1', port: 1 + index},
+    peerAddress: {host: '10.0.0.1', port: 1 + index},
+  }));
+  const us = costUs(() => answerLookup({region: 'a', failureDomain: 'a-1'}, fleet, 5_000));
+  console.log(`${String(count).padStart(8)}  ${us.toFixed(1)}`);
+}
+
+const heartbeat = JSON.stringify({
+  name: 'front-mvd-cordon-1',
+  startedAtMs: 1_700_000_000_000,
+  sequence: 100,
+  state: 'serving',
+  suspicions: [],
+});
+console.log(
+  `heartbeat: ${heartbeat.length} bytes, ${costUs(() => decodePeerMessage(heartbeat)).toFixed(1)} us to read`,
+);
