--- a/packages/gateway/__tests__/placement.test.ts
+++ b/packages/gateway/__tests__/placement.test.ts
@@ -116,6 +116,19 @@
     expect(placed !== undefined).toBe(usable);
   });
 
+  /** Guards against work for a target that left while its gateway was cut off, and against services that an outage empties. */
+  test.each([
+    ['few entries are missing', 1, false],
+    ['most entries are missing', 3, true],
+  ])('when %s, their targets are used: %s of 4, %s', (_name, missing, used) => {
+    const targets = ['t-1', 't-2', 't-3', 't-4'].map(id => target(id));
+    for (const doubtful of targets.slice(0, missing)) doubtful.doubt();
+    const placed = ['1', '2', '3', '4', '5', '6', '7', '8', '9'].map(
+      objectKey => placeRequest({...request, objectKey}, targets, view())?.target.isDoubtful,
+    );
+    expect(placed.includes(true)).toBe(used);
+  });
+
   test('an object keeps its target while that has room', () => {
     const targets = ['t-1', 't-2', 't-3', 't-4'].map(id => target(id));
     const first = placeRequest(request, targets, view())?.target;
--- a/packages/gateway/src/placement.ts
+++ b/packages/gateway/src/placement.ts
@@ -77,6 +77,8 @@
 const plannedUse = 0.6;
 /** Bodies of this size stay in their region while it has room: links between regions are narrow. */
 const largeBodyBytes = 16 * 1024;
+/** Part of the usable slots at targets with an entry above which the others are not used. */
+const leastSureShare = 0.5;
 /** Keeps the order of choices equal at all gateways while targets look alike. */
 const rankStepMs = 4;
 
@@ -86,7 +88,7 @@
   targets: readonly Target[],
   view: PlacementView,
 ): Placement | undefined {
-  const usable = targets.filter(target => isUsable(target, request, view));
+  const usable = withoutDoubtful(targets.filter(target => isUsable(target, request, view)));
   const staysNear = belongsNear(request, targets, view);
   const ranks = rankTargets(request, staysNear, usable, view);
   let best: Candidate | undefined;
@@ -97,6 +99,15 @@
   return best?.placement;
 }
 
+/**
+ * Leaves out targets whose entry is missing while enough others are there. When most entries are missing, they lapsed during
+ * an outage of the store and their targets live; when few are, these targets have more likely left.
+ */
+function withoutDoubtful(usable: readonly Target[]): readonly Target[] {
+  const sure = usable.filter(target => !target.isDoubtful);
+  return slotsOf(sure) >= slotsOf(usable) * leastSureShare ? sure : usable;
+}
+
 function isUsable(target: Target, request: PlacementRequest, view: PlacementView): boolean {
   if (!target.isAssignable || request.triedIds.has(target.id)) return false;
   if (target.health.reachability !== 'reachable') return false;
--- a/packages/gateway/src/target.ts
+++ b/packages/gateway/src/target.ts
@@ -18,6 +18,7 @@
   private currentRecord: TargetRecord;
   private coldUntilMs = 0;
   private removed = false;
+  private missing = false;
   private wrongAddress = false;
   private suspectFingerprints: readonly string[] = [];
 
@@ -60,8 +61,19 @@
     return !this.removed && !this.currentRecord.draining && !this.wrongAddress;
   }
 
+  /** True while the target's entry is missing and it is not known yet whether that means that the target is gone. */
+  get isDoubtful(): boolean {
+    return this.missing;
+  }
+
+  /** Notes that the entry is missing after an outage of the store. */
+  doubt(): void {
+    this.missing = true;
+  }
+
   /** Takes over what the target says of itself now. */
   update(record: TargetRecord, nowMs: number): void {
+    this.missing = false;
     const previous = this.currentRecord;
     this.currentRecord = record;
     if (
--- a/packages/gateway/src/target_directory.ts
+++ b/packages/gateway/src/target_directory.ts
@@ -1,6 +1,6 @@
 /**
  * The targets of all services, from the platform's list. A target whose entry disappears right after an outage of the store
- * stays for a moment: entries that lapsed during the outage come back if their target lives.
+ * stays for a moment, as a doubtful one: entries that lapsed during the outage come back if their target lives.
  */
 import type {TimeSource} from '@cuminsill/utils';
 import type {TargetRecord} from './gateway_types';
@@ -114,6 +114,7 @@
       return;
     }
     if (!this.deferredRemovals.has(id)) this.listener('removal-deferred', id);
+    target.doubt();
     this.deferredRemovals.set(id, this.graceUntilMs);
   }
 
