Wait for the accepted version before all instances are compared

The product promises seconds, not the moment of the answer.

Change: the wait ends when all agree on the accepted version or a later one; the assertion that this is exactly the accepted version stays, so a change that is applied twice or never still fails. The race of two operators waits for the winner's version in the same way.

--- a/packages/system_tests/__tests__/steady_system.test.ts
+++ b/packages/system_tests/__tests__/steady_system.test.ts
@@ -50,12 +50,17 @@
 }
 
 /** Waits until all instances have the version of the newest one. */
-async function untilSettled(): Promise<number> {
+/**
+ * Waits until all instances have the same version in force.
+ * @param least A version that was accepted: before any instance has adopted it, all agree on the one before.
+ */
+async function untilSettled(least = 0): Promise<number> {
   return waitUntil(async () => {
     const versions = await Promise.all(
       system.instances.map(async (_, index) => (await system.readiness(index)).configVersion),
     );
-    return new Set(versions).size === 1 ? versions[0] : undefined;
+    const [version = 0] = versions;
+    return new Set(versions).size === 1 && version >= least ? version : undefined;
   });
 }
 
@@ -116,7 +121,7 @@
     configVersion: first.body.configVersion,
     repeated: true,
   });
-  expect(await untilSettled()).toBe(first.body.configVersion);
+  expect(await untilSettled(first.body.configVersion)).toBe(first.body.configVersion);
 });
 
 // Guards against two operators who both believe that their plan, made from one state, is in force.
@@ -130,7 +135,7 @@
   const loser = replies[1 - winner];
   expect(replies.filter(reply => reply.status < 300)).toHaveLength(1);
   expect(loser?.body).toMatchObject({code: 4004, outcome: 'not-run'});
-  await untilSettled();
+  await untilSettled(replies[winner]?.body.configVersion);
   const status = await askStatus(system.operators(2));
   const move = status.moves.find(one => one.intentId === 'race');
   const expected = plans[winner]?.change;
