--- a/packages/system_tests/__tests__/steady_system.test.ts
+++ b/packages/system_tests/__tests__/steady_system.test.ts
@@ -49,7 +49,6 @@
   return reply.body;
 }
 
-/** Waits until all instances have the version of the newest one. */
 /**
  * Waits until all instances have the same version in force.
  * @param least A version that was accepted: before any instance has adopted it, all agree on the one before.
