Read a request's head once and drop a field that nothing reads

The caller's headers were decoded three times for each request: for the id, for the request and for the log line. Placement.knowsObject was written and never read. Near and far targets are told apart in one pass. Behaviour stays as it is; the tests are unchanged.

--- a/packages/gateway/__fixtures__/baseline_policies.ts
+++ b/packages/gateway/__fixtures__/baseline_policies.ts
@@ -26,5 +26,5 @@
     .map(target => ({target, cost: cost(target)}))
     .sort((a, b) => a.cost - b.cost);
   if (best === undefined) return undefined;
-  return {target: best.target, expectedMs: 0, waitMs: 0, knowsObject: true};
+  return {target: best.target, expectedMs: 0, waitMs: 0};
 }
--- a/packages/gateway/src/placement.ts
+++ b/packages/gateway/src/placement.ts
@@ -48,8 +48,6 @@
   readonly expectedMs: number;
   /** Part of it that the request waits for a slot. */
   readonly waitMs: number;
-  /** True when the target is expected to know the object. */
-  readonly knowsObject: boolean;
 }
 
 /** Expected cost of a failed try, as a multiple of the work that is lost with it. */
@@ -135,8 +133,11 @@
     .map(target => ({target, weight: hash32(`${target.id}/${objectKey}`)}))
     .sort((a, b) => b.weight - a.weight)
     .map(({target}) => target);
-  const near = weighted.filter(target => isNear(target, request.bodyBytes, view));
-  const far = weighted.filter(target => !isNear(target, request.bodyBytes, view));
+  const near: Target[] = [];
+  const far: Target[] = [];
+  for (const target of weighted) {
+    (isNear(target, request.bodyBytes, view) ? near : far).push(target);
+  }
   const ordered = staysNear ? [...near, ...far] : [...far, ...near];
   return new Map(ordered.map((target, rank) => [target.id, rank]));
 }
@@ -199,7 +200,7 @@
   const displacedMs = learns ? gainMs * displacementFactor : 0;
   const crowdedMs = learns && waitMs > 0 ? crowdedCostMs : 0;
   const costMs = expectedMs + displacedMs + crowdedMs + rank * rankStepMs;
-  return {placement: {target, expectedMs, waitMs, knowsObject}, costMs};
+  return {placement: {target, expectedMs, waitMs}, costMs};
 }
 
 function expectedWaitMs(target: Target, workMs: number, nowMs: number): number {
--- a/packages/gateway/src/serve_request.ts
+++ b/packages/gateway/src/serve_request.ts
@@ -10,6 +10,7 @@
 import {forwardRequest} from './forwarding';
 import type {GatewayParts} from './gateway_parts';
 import type {RouteRule} from './gateway_types';
+import type {CallerHead} from './request_wire';
 import type {RouteTable} from './route_table';
 import {targetState} from './status_page';
 
@@ -45,21 +46,21 @@
   private route: RouteRule | undefined;
   private service: string | undefined;
   private forwarding: ForwardingResult | undefined;
-  private readonly requestId: string | undefined;
+  private readonly head: CallerHead;
 
   constructor(
     private readonly parts: GatewayParts,
     private readonly incoming: IncomingMessage,
     private readonly context: ServingContext,
   ) {
-    this.requestId = parts.wire.readCaller(incoming.headers).requestId;
+    this.head = parts.wire.readCaller(incoming.headers);
   }
 
   run(): Effect.Effect<Served> {
     this.parts.metrics.requestStarted();
     return this.answer().pipe(
       Effect.tap(answer => Effect.sync(() => this.note(answer))),
-      Effect.map(answer => ({answer, requestId: this.requestId})),
+      Effect.map(answer => ({answer, requestId: this.head.requestId})),
       Effect.onInterrupt(() => Effect.sync(() => this.note(undefined))),
     );
   }
@@ -85,7 +86,7 @@
 
   private refuseHead(routes: RouteTable): FinalAnswer | undefined {
     const {incoming} = this;
-    if (this.requestId === undefined || incoming.headers.host === undefined) {
+    if (this.head.requestId === undefined || incoming.headers.host === undefined) {
       return ownAnswer('malformed-request');
     }
     this.route = routes.find(incoming.headers.host, incoming.url ?? '/');
@@ -119,10 +120,10 @@
   }
 
   private callerRequest(body: Buffer): CallerRequest {
-    const {incoming, parts, context} = this;
+    const {incoming, context} = this;
     return {
-      head: parts.wire.readCaller(incoming.headers),
-      requestId: this.requestId ?? '',
+      head: this.head,
+      requestId: this.head.requestId ?? '',
       method: incoming.method ?? 'GET',
       path: incoming.url ?? '/',
       host: incoming.headers.host,
@@ -144,10 +145,10 @@
     const placement = forwarding?.placement;
     const targets = service === undefined ? [] : parts.targets.ofService(service);
     parts.log.request({
-      requestId: this.requestId ?? 'none',
+      requestId: this.head.requestId ?? 'none',
       route,
       service,
-      objectKey: parts.wire.readCaller(this.incoming.headers).objectKey,
+      objectKey: this.head.objectKey,
       configVersion: parts.configuration.version,
       outcome,
       status: statusOf(answer),
