Move the wire objects of the users' platform to its stand-ins

The tests, the demo and a fault soak need the same objects; only the stand-ins may spell them outside of platform/. Endpoints of the stand-in report arrivals, runs and answers to an observer and can answer with a body of their own for each request, so that an answer that reaches the wrong caller can be told.

--- a/packages/standins/src/users_platform/endpoint_server.ts
+++ b/packages/standins/src/users_platform/endpoint_server.ts
@@ -34,6 +34,19 @@
   readonly workMs: number;
   /** Modes of the next requests, in order; endpoints that share a list take from it in turn. */
   readonly script?: AnswerMode[];
+  /** Body of the answer to a request; the same text for all by default. */
+  readonly bodyOf?: (requestId: string) => string;
+  readonly observer?: EndpointObserver;
+}
+
+/** Hears what happens at an endpoint. */
+export interface EndpointObserver {
+  /** A request arrived, also one that is declined afterwards. */
+  arrived(requestId: string): void;
+  /** A request began to run. */
+  ran(request: RunRequest): void;
+  /** A request that ran was answered with this status. */
+  answered(requestId: string, status: number): void;
 }
 
 /** A request that an endpoint ran. */
@@ -97,6 +110,7 @@
       return;
     }
     this.arrived += 1;
+    this.options.observer?.arrived(requestIdOf(request));
     const answer = new EndpointAnswer(this, request, response);
     const expected = request.headers['expect-instance'];
     if (expected !== undefined && expected !== this.options.id) answer.decline(421);
@@ -137,8 +151,14 @@
     answer: EndpointAnswer,
     mode: AnswerMode,
   ): void {
-    const id = String(request.headers['request-id'] ?? '');
-    this.ran.push({id, method: request.method ?? '', path: request.url ?? '', body});
+    const run = {
+      id: requestIdOf(request),
+      method: request.method ?? '',
+      path: request.url ?? '',
+      body,
+    };
+    this.ran.push(run);
+    this.options.observer?.ran(run);
     const end = () => {
       clearTimeout(timer);
       answer.socket.off('close', left);
@@ -164,8 +184,14 @@
 
 type AnswerWriter = (answer: EndpointAnswer) => void;
 
+/** A broken answer ends after this much of its body. */
+const cutAfterBytes = 8;
 const bodyText = 'the answer of the endpoint';
 
+function requestIdOf(request: http.IncomingMessage): string {
+  return String(request.headers['request-id'] ?? '');
+}
+
 class EndpointAnswer {
   readonly socket: Socket;
 
@@ -178,11 +204,14 @@
   }
 
   end(): void {
-    this.response.writeHead(200, {...this.headers(), 'Content-Length': bodyText.length});
-    this.response.end(bodyText);
+    this.answering(200);
+    const body = this.body();
+    this.response.writeHead(200, {...this.headers(), 'Content-Length': body.length});
+    this.response.end(body);
   }
 
   fail(): void {
+    this.answering(500);
     this.response.writeHead(500, {...this.headers(), 'Content-Length': 6});
     this.response.end('failed');
   }
@@ -199,21 +228,35 @@
   }
 
   cut(): void {
-    this.response.writeHead(200, {...this.headers(), 'Content-Length': bodyText.length});
-    this.response.write(bodyText.slice(0, 8));
+    this.answering(200);
+    const body = this.body();
+    this.response.writeHead(200, {...this.headers(), 'Content-Length': body.length});
+    this.response.write(body.slice(0, cutAfterBytes));
     setImmediate(() => this.socket.destroy());
   }
 
   unframedCut(): void {
-    this.socket.end(`${this.rawHead('Connection: close')}${bodyText.slice(0, 8)}`);
+    this.answering(200);
+    const start = this.body().slice(0, cutAfterBytes);
+    this.socket.end(`${this.rawHead('Connection: close')}${start}`);
   }
 
   twice(): void {
-    const whole = `${this.rawHead(`Content-Length: ${bodyText.length}`)}${bodyText}`;
+    this.answering(200);
+    const body = this.body();
+    const whole = `${this.rawHead(`Content-Length: ${body.length}`)}${body}`;
     this.socket.write(whole);
     setTimeout(() => this.socket.write(whole), 5);
   }
 
+  private answering(status: number): void {
+    this.endpoint.options.observer?.answered(this.requestId(), status);
+  }
+
+  private body(): string {
+    return this.endpoint.options.bodyOf?.(this.requestId()) ?? bodyText;
+  }
+
   private rawHead(framing: string): string {
     const lines = Object.entries(this.headers()).map(([name, value]) => `${name}: ${value}`);
     return ['HTTP/1.1 200 OK', ...lines, framing, '', ''].join('\r\n');
@@ -230,6 +273,6 @@
   }
 
   private requestId(): string {
-    return String(this.request.headers['request-id'] ?? '');
+    return requestIdOf(this.request);
   }
 }
--- a/packages/standins/src/users_platform/index.ts
+++ b/packages/standins/src/users_platform/index.ts
@@ -2,3 +2,4 @@
 export * from './endpoint_server';
 export * from './object_store_server';
 export * from './object_table';
+export * from './wire_objects';
--- /dev/null
+++ b/packages/standins/src/users_platform/wire_objects.ts
@@ -0,0 +1,142 @@
+/** Objects, settings and callers' headers as the platform spells them, for tests, the demo and the soak. */
+
+/** A configuration with one idempotent and one non-idempotent route. */
+export function wireConfiguration(version: number, changes: object = {}): object {
+  return {
+    version,
+    services: [{name: 'pages', healthPath: '/health', coldStartS: 3, coldPerS: 7.4}],
+    limits: {
+      maxHeaderBytes: 16_384,
+      maxBodyBytes: 1_000_000,
+      headerTimeoutMs: 3_000,
+      idleTimeoutMs: 15_000,
+    },
+    hosts: [
+      {
+        host: 'one.example',
+        paths: [
+          wireRoute('read', '/read/', 'idempotent'),
+          wireRoute('book', '/book/', 'non_idempotent'),
+          wireRoute('send', '/send/', 'upload'),
+        ],
+      },
+    ],
+    ...changes,
+  };
+}
+
+/** A route, to the service `pages` unless another one is named. */
+export function wireRoute(
+  name: string,
+  pathPrefix: string,
+  kind: string,
+  service = 'pages',
+): object {
+  return {
+    name,
+    pathPrefix,
+    kind,
+    timeoutMs: 1_000,
+    targetLatencyMs: 400,
+    priority: 1,
+    attempts: 2,
+    sticky: true,
+    homeRegions: [],
+    service,
+  };
+}
+
+/** What an endpoint says of itself. */
+export function wireEndpoint(port: number, changes: object = {}): object {
+  return {
+    service: 'pages',
+    address: `127.0.0.1:${port}`,
+    zone: 'a-1',
+    version: 'v1',
+    slots: 3,
+    state: 'ready',
+    coldRemainingMs: 0,
+    seq: 1,
+    born: 1_000,
+    ...changes,
+  };
+}
+
+/** Ports of a gateway and of the store that it calls. */
+export interface SettingsPorts {
+  readonly store: number;
+  readonly front: number;
+  readonly ready: number;
+  readonly directory: number;
+  readonly peer: number;
+}
+
+/** Where a gateway runs, and how long it may take to stop. */
+export interface SettingsPlace {
+  readonly name: string;
+  readonly region: string;
+  readonly failureDomain: string;
+  /** Region of each failure domain. */
+  readonly regions: Readonly<Record<string, string>>;
+  readonly stopGraceS: number;
+}
+
+const onePlace: SettingsPlace = {
+  name: 'front-a-1-1',
+  region: 'a',
+  failureDomain: 'a-1',
+  regions: {'a-1': 'a'},
+  stopGraceS: 1,
+};
+
+/** A settings file of a machine on the loopback address. */
+export function settingsText(
+  host: string,
+  ports: SettingsPorts,
+  place: SettingsPlace = onePlace,
+): string {
+  const zones = Object.entries(place.regions).map(([zone, region]) => `${zone} = "${region}"`);
+  return `
+nodeName = "${place.name}"
+ip = "${host}"
+zone = "${place.failureDomain}"
+region = "${place.region}"
+internalPorts = [${ports.peer}, ${ports.peer}]
+[zones]
+${zones.join('\n')}
+[listen]
+front = "${host}:${ports.front}"
+ready = "${host}:${ports.ready}"
+directory = "${host}:${ports.directory}"
+[bounds]
+graceS = ${place.stopGraceS}
+retryBudgetRatio = 0.2
+budgetWindowS = 10
+budgetSlack = 60
+coldOvershoot = 1.5
+coldSlack = 5
+ttl_max_s = 5
+[platform]
+address = "127.0.0.1:${ports.store}"
+`;
+}
+
+/** Headers of a caller's request. */
+export function callerHeaders(
+  requestId: string,
+  deadlineMs: number,
+  objectKey: string,
+): Readonly<Record<string, string>> {
+  return {
+    Host: 'one.example',
+    'Request-Id': requestId,
+    'Deadline-Ms': String(deadlineMs),
+    Cookie: `Affinity-Key=${objectKey}`,
+  };
+}
+
+/** Pages of a gateway that callers and the platform ask. */
+export const gatewayPages = {
+  ready: '/cuminsill/ready',
+  lookUp: '/cuminsill/resolve?name=one.example&region=a&zone=a-1',
+} as const;
