Read the gateway's settings in the project's own layout, from a template

Cause: the program decoded the platform's TOML, so the platform's field names reached the program's settings page and an operator saw other names there than in the status page. The platform renders a template of the project at each start and before SIGHUP, and the house style asks for settings in JSON.

Change: platform/gateway_settings.json.template holds the platform's names; packages/gateway decodes its own JSON in one step that reports every problem with field, value and fix. SIGHUP now takes over the bounds and logs which other fields wait for the next start; before, it only checked the file.

--- a/packages/gateway/__tests__/retry_allowance.test.ts
+++ b/packages/gateway/__tests__/retry_allowance.test.ts
@@ -15,7 +15,12 @@
   const startMs = time.monotonicMs();
   const allowances = Array.from(
     {length: gateways},
-    () => new RetryAllowance(limit, time, () => gateways),
+    () =>
+      new RetryAllowance(
+        () => limit,
+        time,
+        () => gateways,
+      ),
   );
   const sendings: Sending[] = [];
   for (const perSecond of requestsPerS) {
@@ -58,14 +63,22 @@
   });
 
   test('services have allowances of their own', () => {
-    const allowance = new RetryAllowance({...limit, slack: 2}, new ManualTime(), () => 1);
+    const allowance = new RetryAllowance(
+      () => ({...limit, slack: 2}),
+      new ManualTime(),
+      () => 1,
+    );
     expect([allowance.tryTake('a'), allowance.tryTake('a')]).toEqual([true, false]);
     expect(allowance.tryTake('b')).toBe(true);
   });
 
   test('slack returns after the window', () => {
     const time = new ManualTime();
-    const allowance = new RetryAllowance({...limit, slack: 2}, time, () => 1);
+    const allowance = new RetryAllowance(
+      () => ({...limit, slack: 2}),
+      time,
+      () => 1,
+    );
     expect([allowance.tryTake('a'), allowance.tryTake('a')]).toEqual([true, false]);
     time.advance(limit.windowMs);
     expect(allowance.tryTake('a')).toBe(true);
--- a/packages/gateway/src/forwarding.ts
+++ b/packages/gateway/src/forwarding.ts
@@ -191,7 +191,8 @@
 
   private choose(): Placement | undefined {
     const {parts, forwarded} = this;
-    const {settings, peers, evacuations, timings, latency} = parts;
+    const {peers, evacuations, timings, latency} = parts;
+    const settings = parts.settings.value;
     const rule = parts.configuration.routes?.configuration.services.get(forwarded.service);
     const coldRate = (rule?.coldRequestsPerS ?? 1) * settings.bounds.coldOvershoot;
     return placeRequest(
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -18,6 +18,7 @@
 import {GatewayMetrics} from './gateway_metrics';
 import type {GatewayParts} from './gateway_parts';
 import type {GatewayPorts} from './gateway_ports';
+import {CurrentSettings} from './gateway_settings';
 import type {GatewayRecord, GatewaySettings} from './gateway_types';
 import {answerLookup} from './lookup_answers';
 import type {FeedPace, FeedSink, FeedState} from './object_feed';
@@ -29,6 +30,7 @@
 import type {PeerMessage} from './peer_message';
 import type {PeerState} from './peer_table';
 import {PeerTable} from './peer_table';
+import type {RetryLimit} from './retry_allowance';
 import {RetryAllowance} from './retry_allowance';
 import {ServiceSplit} from './service_split';
 import {ServiceTimings} from './service_timing';
@@ -56,6 +58,7 @@
 
 /** One running gateway. */
 export class Gateway {
+  private readonly settings: CurrentSettings;
   private readonly parts: GatewayParts;
   private readonly callers: CallerServer;
   private readonly prober: TargetProber;
@@ -69,12 +72,13 @@
   private readonly startedAtMs: number;
 
   constructor(
-    private readonly settings: GatewaySettings,
+    settings: GatewaySettings,
     private readonly ports: GatewayPorts,
     private readonly logOutput: LogOutput = new BoundedLogStream(),
     private readonly time: TimeSource = systemTime,
   ) {
     this.startedAtMs = time.nowMs();
+    this.settings = new CurrentSettings(settings);
     this.ownRecord = recordOf(settings);
     this.parts = this.makeParts();
     const {metrics} = this.parts;
@@ -88,7 +92,7 @@
 
   /** Starts everything. Fails when an address is taken. */
   start(): Effect.Effect<void, Error> {
-    const {listen} = this.settings;
+    const {listen, region, failureDomain} = this.settings.value;
     const addresses = [listen.lookups, listen.readiness, listen.metrics];
     return Effect.gen(this, function* () {
       yield* attempt(() => this.callers.listen(listen.callers));
@@ -100,10 +104,7 @@
       this.prober.start();
       const feeds = this.feeds.map(feed => feed.run());
       this.fibers = [...feeds, this.register()].map(task => Effect.runFork(task));
-      this.parts.log.belief('start', {
-        region: this.settings.region,
-        failureDomain: this.settings.failureDomain,
-      });
+      this.parts.log.belief('start', {region, failureDomain});
     });
   }
 
@@ -111,13 +112,13 @@
   stop(): Effect.Effect<void> {
     return Effect.gen(this, function* () {
       const startedAtMs = this.time.monotonicMs();
-      const graceMs = this.settings.bounds.stopGraceMs;
+      const graceMs = this.settings.value.bounds.stopGraceMs;
       this.state = 'leaving';
       this.peers.sendNow();
       this.callers.startLeaving();
       const inFlight = this.callers.requestsInFlight;
       this.parts.log.belief('stop', {phase: 'leaving', inFlight, graceMs});
-      yield* Effect.forkDaemon(Effect.ignore(this.ports.registry.remove(this.settings.name)));
+      yield* Effect.forkDaemon(Effect.ignore(this.ports.registry.remove(this.ownRecord.name)));
       yield* Effect.sleep(graceMs * refuseAfterShare);
       this.callers.refuseNewWork();
       const endMs = startedAtMs + graceMs - endBeforeKillMs;
@@ -128,9 +129,15 @@
     });
   }
 
-  /** Notes that the settings were read again; only what may change while running is taken over. */
-  reloaded(outcome: string): void {
-    this.parts.log.belief('reload', {outcome});
+  /** Takes over what may change while running from settings that were read again. */
+  reload(settings: GatewaySettings): void {
+    const waitingForStart = this.settings.reload(settings);
+    this.parts.log.belief('reload', {outcome: 'bounds taken over', waitingForStart});
+  }
+
+  /** Notes settings that cannot be used; the former ones stay in force. */
+  reloadFailed(reason: string): void {
+    this.parts.log.belief('reload', {outcome: 'settings not used', reason});
   }
 
   private untilIdle(endMs: number): Effect.Effect<void> {
@@ -162,14 +169,9 @@
 
   private makeParts(): GatewayParts {
     const {settings, time} = this;
-    const {bounds, regions} = settings;
-    const log = new DecisionLog(settings.name, time, this.logOutput);
+    const {name, regions, failureDomain} = settings.value;
+    const log = new DecisionLog(name, time, this.logOutput);
     const peers = new PeerTable(this.ownRecord, time);
-    const limit = {
-      ratio: bounds.retryRatio,
-      windowMs: bounds.retryWindowMs,
-      slack: bounds.retrySlack,
-    };
     return {
       settings,
       wire: this.ports.requestWire,
@@ -187,8 +189,12 @@
       peers,
       split: new ServiceSplit(),
       timings: new ServiceTimings(),
-      latency: new PathLatency(settings.failureDomain, regions),
-      retries: new RetryAllowance(limit, time, () => peers.listedCount()),
+      latency: new PathLatency(failureDomain, regions),
+      retries: new RetryAllowance(
+        () => retryLimit(settings.value),
+        time,
+        () => peers.listedCount(),
+      ),
       connections: new TargetConnections(),
       poison: new PoisonGuard(time),
       log,
@@ -249,7 +255,7 @@
 
   private makePeers(): PeerExchange {
     const {parts} = this;
-    return new PeerExchange(this.settings.peerAddress, {
+    return new PeerExchange(this.settings.value.listen.peers, {
       heartbeat: () => this.heartbeat(),
       peers: () => parts.peers.others().map(({peerAddress}) => peerAddress),
       received: message => {
@@ -264,7 +270,7 @@
     if (this.state === 'starting' && this.isReady()) this.state = 'serving';
     this.sequence += 1;
     return {
-      name: this.settings.name,
+      name: this.ownRecord.name,
       startedAtMs: this.startedAtMs,
       sequence: this.sequence,
       state: this.state,
@@ -278,11 +284,14 @@
 
   private lookupPages(): PageServer {
     const {lookupWire} = this.ports;
-    const {bounds} = this.settings;
     const handler = (query: URLSearchParams) => {
       const serving = this.parts.peers.servingOthers();
       const named = this.isReady() ? [this.ownRecord, ...serving] : serving;
-      const answer = answerLookup(lookupWire.readQuery(query), named, bounds.maxLookupTtlMs);
+      const answer = answerLookup(
+        lookupWire.readQuery(query),
+        named,
+        this.settings.value.bounds.maxLookupTtlMs,
+      );
       const status = answer.addresses.length > 0 ? 200 : 503;
       return {status, contentType: 'application/json', body: lookupWire.writeAnswer(answer)};
     };
@@ -328,10 +337,14 @@
     region: settings.region,
     failureDomain: settings.failureDomain,
     callerAddress: settings.listen.callers,
-    peerAddress: settings.peerAddress,
+    peerAddress: settings.listen.peers,
   };
 }
 
+function retryLimit({bounds}: GatewaySettings): RetryLimit {
+  return {ratio: bounds.retryRatio, windowMs: bounds.retryWindowMs, slack: bounds.retrySlack};
+}
+
 /** A view that takes lists and changes and does not care about outages. */
 type View<Content> = Pick<FeedSink<Content>, 'replace' | 'apply'>;
 
--- a/packages/gateway/src/gateway_parts.ts
+++ b/packages/gateway/src/gateway_parts.ts
@@ -5,7 +5,7 @@
 import type {DecisionLog} from './decision_log';
 import type {EvacuationView} from './evacuation_view';
 import type {GatewayMetrics} from './gateway_metrics';
-import type {GatewaySettings} from './gateway_types';
+import type {CurrentSettings} from './gateway_settings';
 import type {PathLatency} from './path_latency';
 import type {PeerTable} from './peer_table';
 import type {RequestWire} from './request_wire';
@@ -17,7 +17,7 @@
 
 /** The parts of one gateway. */
 export interface GatewayParts {
-  readonly settings: GatewaySettings;
+  readonly settings: CurrentSettings;
   readonly wire: RequestWire;
   readonly time: TimeSource;
   readonly configuration: ConfigurationView;
--- /dev/null
+++ b/packages/gateway/src/gateway_settings.ts
@@ -0,0 +1,126 @@
+/**
+ * Settings of a gateway: the one step that checks the settings file and turns it into typed values. A reload takes over
+ * the bounds; everything else counts from the next start.
+ * Fields are read one by one, so that the bundled program does not carry a schema library.
+ */
+import type {SocketAddress} from '@cuminsill/types';
+import type {JsonObject} from '@cuminsill/utils';
+import {asObject, numberField, parseJson, stringField} from '@cuminsill/utils';
+import type {GatewayBounds, GatewaySettings} from './gateway_types';
+import {parseAddress} from './socket_address';
+
+/** A settings file that cannot be used, with every problem found. */
+export class SettingsError extends Error {
+  override readonly name = 'SettingsError';
+
+  constructor(readonly problems: readonly string[]) {
+    super(`The settings file cannot be used:\n${problems.map(line => `- ${line}`).join('\n')}`);
+  }
+}
+
+/** Decodes the text of a settings file. Throws SettingsError. */
+export function decodeSettings(text: string): GatewaySettings {
+  const reader = new SettingsReader(parseSettings(text));
+  const settings = readSettings(reader);
+  if (reader.problems.length > 0) throw new SettingsError(reader.problems);
+  return settings;
+}
+
+/** The settings in force. */
+export class CurrentSettings {
+  constructor(private current: GatewaySettings) {}
+
+  get value(): GatewaySettings {
+    return this.current;
+  }
+
+  /** Takes over the bounds of a file that was read again; returns what has to wait for the next start. */
+  reload(next: GatewaySettings): readonly string[] {
+    const {bounds, ...fixed} = next;
+    const waiting = Object.entries(fixed)
+      .filter(([field, value]) => !isSame(value, this.current[field as keyof GatewaySettings]))
+      .map(([field]) => field);
+    this.current = {...this.current, bounds};
+    return waiting;
+  }
+}
+
+function isSame(left: unknown, right: unknown): boolean {
+  const plain = (value: unknown) => (value instanceof Map ? Object.fromEntries(value) : value);
+  return JSON.stringify(plain(left)) === JSON.stringify(plain(right));
+}
+
+function parseSettings(text: string): JsonObject {
+  const content = asObject(parseJson(text));
+  if (content === undefined) throw new SettingsError(['the file is not a JSON object']);
+  return content;
+}
+
+function readSettings(reader: SettingsReader): GatewaySettings {
+  const domains = Object.entries(reader.table('regionOfFailureDomain'));
+  return {
+    name: reader.text('', 'name'),
+    region: reader.text('', 'region'),
+    failureDomain: reader.text('', 'failureDomain'),
+    regions: new Map(domains.map(([domain, region]) => [domain, String(region)])),
+    storeAddress: reader.address('', 'storeAddress'),
+    listen: {
+      callers: reader.address('listen', 'callers'),
+      lookups: reader.address('listen', 'lookups'),
+      readiness: reader.address('listen', 'readiness'),
+      metrics: reader.address('listen', 'metrics'),
+      peers: reader.address('listen', 'peers'),
+    },
+    bounds: readBounds(reader),
+  };
+}
+
+function readBounds(reader: SettingsReader): GatewayBounds {
+  const bound = (field: string) => reader.amount('bounds', field);
+  return {
+    stopGraceMs: bound('stopGraceS') * 1000,
+    retryRatio: bound('retryRatio'),
+    retryWindowMs: bound('retryWindowS') * 1000,
+    retrySlack: bound('retrySlackRequests'),
+    coldOvershoot: bound('coldOvershootRatio'),
+    coldSlack: bound('coldSlackRequests'),
+    maxLookupTtlMs: bound('maxLookupTtlS') * 1000,
+  };
+}
+
+/** Reads fields and collects what is wrong with them. */
+class SettingsReader {
+  readonly problems: string[] = [];
+
+  constructor(private readonly root: JsonObject) {}
+
+  table(name: string): JsonObject {
+    return name === '' ? this.root : (asObject(this.root[name]) ?? {});
+  }
+
+  text(table: string, field: string): string {
+    const value = stringField(this.table(table), field);
+    return value === undefined || value === '' ? this.wrong(table, field, 'a text', '') : value;
+  }
+
+  amount(table: string, field: string): number {
+    const value = numberField(this.table(table), field);
+    const isUsable = value !== undefined && value >= 0;
+    return isUsable ? value : this.wrong(table, field, 'a number of 0 or more', 0);
+  }
+
+  address(table: string, field: string): SocketAddress {
+    const value = parseAddress(stringField(this.table(table), field));
+    return value ?? this.wrong(table, field, 'an address such as 10.1.0.15:8641', noAddress);
+  }
+
+  private wrong<Value>(table: string, field: string, expected: string, value: Value): Value {
+    const name = table === '' ? field : `${table}.${field}`;
+    const found = this.table(table)[field];
+    const shown = found === undefined ? 'missing' : JSON.stringify(found);
+    this.problems.push(`${name} is ${shown}; expected ${expected}`);
+    return value;
+  }
+}
+
+const noAddress: SocketAddress = {host: '', port: 0};
--- a/packages/gateway/src/gateway_types.ts
+++ b/packages/gateway/src/gateway_types.ts
@@ -113,7 +113,9 @@
     readonly readiness: SocketAddress;
     readonly lookups: SocketAddress;
     readonly metrics: SocketAddress;
+    /** Heartbeats of other gateways, over UDP. */
+    readonly peers: SocketAddress;
   };
-  readonly peerAddress: SocketAddress;
+  readonly storeAddress: SocketAddress;
   readonly bounds: GatewayBounds;
 }
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -2,7 +2,9 @@
 export type {LogOutput} from './decision_log';
 export * from './gateway';
 export * from './gateway_ports';
+export {decodeSettings, SettingsError} from './gateway_settings';
 export * from './gateway_types';
 export * from './lookup_wire';
 export * from './object_source';
 export * from './request_wire';
+export * from './socket_address';
--- a/packages/gateway/src/retry_allowance.ts
+++ b/packages/gateway/src/retry_allowance.ts
@@ -23,22 +23,25 @@
 export class RetryAllowance {
   private readonly byService = new Map<string, ServiceAllowance>();
 
-  /** @param gateways Number of gateways among which the slack is divided. */
+  /**
+   * @param limit The limit now; a reload may change it.
+   * @param gateways Number of gateways among which the slack is divided.
+   */
   constructor(
-    private readonly limit: RetryLimit,
+    private readonly limit: () => RetryLimit,
     private readonly time: TimeSource,
     private readonly gateways: () => number,
   ) {}
 
   /** Counts the first sending of a request. */
   countRequest(service: string): void {
-    this.of(service).earn(this.limit.ratio * usedShare);
+    this.of(service).earn(this.limit().ratio * usedShare);
   }
 
   /** Takes one further sending; false when the allowance is used up. */
   tryTake(service: string): boolean {
     const nowMs = this.time.monotonicMs();
-    return this.of(service).tryTake(nowMs, this.limit.windowMs, this.ownSlack(nowMs));
+    return this.of(service).tryTake(nowMs, this.limit().windowMs, this.ownSlack(nowMs));
   }
 
   /**
@@ -46,9 +49,10 @@
    * windows, at moments that differ between gateways.
    */
   private ownSlack(nowMs: number): number {
-    const share = (this.limit.slack * usedShare) / Math.max(1, this.gateways());
+    const {slack, windowMs} = this.limit();
+    const share = (slack * usedShare) / Math.max(1, this.gateways());
     if (share >= 1) return Math.floor(share);
-    const window = Math.floor(nowMs / this.limit.windowMs);
+    const window = Math.floor(nowMs / windowMs);
     return window % Math.ceil(1 / share) === 0 ? 1 : 0;
   }
 
--- a/platform/src/socket_address.ts
+++ b/packages/gateway/src/socket_address.ts
@@ -1,4 +1,4 @@
-/** Addresses as the platform writes them: `10.1.0.15:8641`. */
+/** Addresses as text: `10.1.0.15:8641`. */
 import type {SocketAddress} from '@cuminsill/types';
 
 const largestPort = 65_535;
--- a/packages/gateway/src/status_page.ts
+++ b/packages/gateway/src/status_page.ts
@@ -16,7 +16,7 @@
   const {routes, version} = parts.configuration;
   return JSON.stringify(
     {
-      gateway: parts.settings.name,
+      gateway: parts.settings.value.name,
       configVersion: version,
       feeds,
       evacuatedDomains: [...parts.evacuations.evacuatedDomains],
--- a/packages/standins/src/users_platform/index.ts
+++ b/packages/standins/src/users_platform/index.ts
@@ -2,4 +2,5 @@
 export * from './endpoint_server';
 export * from './object_store_server';
 export * from './object_table';
+export * from './settings_template';
 export * from './wire_objects';
--- a/packages/standins/src/users_platform/wire_objects.ts
+++ b/packages/standins/src/users_platform/wire_objects.ts
@@ -1,4 +1,5 @@
 /** Objects, settings and callers' headers as the platform spells them, for tests, the demo and the soak. */
+import {renderTemplate} from './settings_template';
 
 /** A configuration with one idempotent and one non-idempotent route. */
 export function wireConfiguration(version: number, changes: object = {}): object {
@@ -68,6 +69,7 @@
   readonly front: number;
   readonly ready: number;
   readonly directory: number;
+  readonly metrics: number;
   readonly peer: number;
 }
 
@@ -89,36 +91,50 @@
   stopGraceS: 1,
 };
 
-/** A settings file of a machine on the loopback address. */
-export function settingsText(
+/** Template from which the platform writes the settings file of a gateway, relative to the root of the repository. */
+export const settingsTemplateFile = 'platform/gateway_settings.json.template';
+
+/** What the platform fills into the template of a machine on the loopback address. */
+export function settingsFields(
   host: string,
   ports: SettingsPorts,
   place: SettingsPlace = onePlace,
+): object {
+  return {
+    nodeName: place.name,
+    ip: host,
+    zone: place.failureDomain,
+    region: place.region,
+    internalPorts: [ports.peer, ports.peer],
+    zones: place.regions,
+    listen: {
+      front: `${host}:${ports.front}`,
+      ready: `${host}:${ports.ready}`,
+      directory: `${host}:${ports.directory}`,
+    },
+    bounds: {
+      graceS: place.stopGraceS,
+      retryBudgetRatio: 0.2,
+      budgetWindowS: 10,
+      budgetSlack: 60,
+      coldOvershoot: 1.5,
+      coldSlack: 5,
+      ttl_max_s: 5,
+    },
+    platform: {address: `127.0.0.1:${ports.store}`},
+  };
+}
+
+/** The settings file of a gateway on the loopback address, from the project's template. */
+export function settingsText(
+  template: string,
+  ports: SettingsPorts,
+  host: string,
+  place?: SettingsPlace,
 ): string {
-  const zones = Object.entries(place.regions).map(([zone, region]) => `${zone} = "${region}"`);
-  return `
-nodeName = "${place.name}"
-ip = "${host}"
-zone = "${place.failureDomain}"
-region = "${place.region}"
-internalPorts = [${ports.peer}, ${ports.peer}]
-[zones]
-${zones.join('\n')}
-[listen]
-front = "${host}:${ports.front}"
-ready = "${host}:${ports.ready}"
-directory = "${host}:${ports.directory}"
-[bounds]
-graceS = ${place.stopGraceS}
-retryBudgetRatio = 0.2
-budgetWindowS = 10
-budgetSlack = 60
-coldOvershoot = 1.5
-coldSlack = 5
-ttl_max_s = 5
-[platform]
-address = "127.0.0.1:${ports.store}"
-`;
+  const text = renderTemplate(template, settingsFields(host, ports, place));
+  // Several gateways share the address here, so the fixed port of their metrics cannot be.
+  return text.replace(/"metrics": "[^"]*"/, `"metrics": "${host}:${ports.metrics}"`);
 }
 
 /** Headers of a caller's request. */
