Keep the handler of SIGTERM, so that a second signal does not cut requests

A second SIGTERM came 1.3 s into the stop of a gateway; the process ended by the signal at once and an upload whose target had answered was cut.

Cause: the handler was registered with process.once. After the first signal Node's default applies again, which ends the process.

Ruled out: the grace time (3 s, 1.3 s used), a crash (the exit reports the signal), a disruption of the link (none near).

Change: the handler stays, and only the first signal starts the stop.

Signals come in series on the users' platform as well.

--- a/packages/daemon/src/run_daemon.ts
+++ b/packages/daemon/src/run_daemon.ts
@@ -111,12 +111,9 @@
   return daemonExitCodes.failed;
 }
 
+/** The handler of SIGTERM stays: without one, a further SIGTERM during the stop would end the process at once. */
 const stopSignal = Effect.async<void>(resume => {
   const onSignal = () => resume(Effect.void);
-  process.once('SIGTERM', onSignal);
+  process.on('SIGTERM', onSignal);
   process.once('SIGINT', onSignal);
-  return Effect.sync(() => {
-    process.off('SIGTERM', onSignal);
-    process.off('SIGINT', onSignal);
-  });
 });
--- a/packages/system_tests/__tests__/steady_system.test.ts
+++ b/packages/system_tests/__tests__/steady_system.test.ts
@@ -169,6 +169,8 @@
   await waitUntil(async () =>
     (await namedInstances(0)).includes('instance-2') ? undefined : true,
   );
+  // A second signal during the stop ended the process at once.
+  stopping.signal('SIGTERM');
   await Promise.all(callers);
   const end = await stopping.untilEnded();
   expect([others, end.code]).toEqual([[], 0]);
