Add a randomized fault soak of the gateway program

packages/soak draws overlapping disruptions from a seed (links through a loopback proxy, signals, steps of the wall clock, the store, targets, configurations, evacuations), lets callers send on kept connections, and checks fourteen promises over the recorded history.

--- /dev/null
+++ b/packages/soak/src/soak_world.ts
@@ -0,0 +1,187 @@
+/** Everything that one run of the soak consists of: gateways, targets, the store, and the record of what happened. */
+import {mkdirSync, writeFileSync} from 'node:fs';
+import {join} from 'node:path';
+import {
+  findFreePorts,
+  ObjectStoreServer,
+  ownLoopbackAddress,
+  settingsText,
+  wireConfiguration,
+  wireRoute,
+} from '@cuminsill/standins';
+import {FaultProxy} from './fault_proxy';
+import {GatewayProcess} from './gateway_process';
+import type {Disruption} from './soak_history';
+import {HistoryRecorder} from './soak_history';
+import {TargetFleet} from './target_fleet';
+
+/** What a run is made of. */
+export interface WorldOptions {
+  readonly gatewayCount: number;
+  /** The bundled gateway program. */
+  readonly program: string;
+  /** Template of its settings file. */
+  readonly template: string;
+  /** Where settings, logs and findings are written. */
+  readonly folder: string;
+}
+
+/** Region of each failure domain. */
+export const regions: Readonly<Record<string, string>> = {'a-1': 'a', 'a-2': 'a', 'b-1': 'b'};
+const failureDomains = Object.keys(regions);
+
+/** Targets of each service at the start. */
+const targetCounts: Readonly<Record<string, number>> = {pages: 6, orders: 5, files: 3};
+
+/** Routes that every configuration has: path prefix, kind of the wire and service. */
+const fixedRoutes: ReadonlyArray<readonly [string, string, string]> = [
+  ['read', 'idempotent', 'pages'],
+  ['book', 'non_idempotent', 'orders'],
+];
+
+const stopGraceS = 3;
+const configurationKind = 'config';
+const configurationName = 'main';
+const evacuationKind = 'evacuations';
+
+/** What the next configuration says beyond the fixed routes. */
+export interface RouteChoices {
+  readonly sendService: string;
+  readonly hasNewRoute: boolean;
+}
+
+/** One running deployment. */
+export class SoakWorld {
+  readonly recorder = new HistoryRecorder();
+  readonly store = new ObjectStoreServer();
+  readonly fleet = new TargetFleet(this.store.table, this.recorder, () => this.nowMs());
+  readonly gateways: GatewayProcess[] = [];
+  choices: RouteChoices = {sendService: 'files', hasNewRoute: false};
+  private version = 0;
+  private readonly startedAtMs = performance.now();
+
+  constructor(private readonly options: WorldOptions) {}
+
+  /** Milliseconds since the run began. */
+  nowMs(): number {
+    return performance.now() - this.startedAtMs;
+  }
+
+  /** Starts the store, the targets and the gateways. */
+  async start(): Promise<void> {
+    mkdirSync(this.options.folder, {recursive: true});
+    const storePort = await this.store.start();
+    this.configure(this.choices);
+    for (const [service, count] of Object.entries(targetCounts)) {
+      for (let number = 0; number < count; number += 1) {
+        await this.fleet.add(service, this.domain(number), 0);
+      }
+    }
+    for (let number = 0; number < this.options.gatewayCount; number += 1) {
+      this.gateways.push(await this.addGateway(number, storePort));
+    }
+    for (const gateway of this.gateways) gateway.start();
+  }
+
+  /** Ends everything that the run started. */
+  async stop(): Promise<void> {
+    await Promise.all(this.gateways.map(gateway => gateway.stop()));
+    for (const {callerLink, storeLink} of this.gateways) {
+      callerLink.stop();
+      storeLink.stop();
+    }
+    this.fleet.stop();
+    this.store.stop();
+  }
+
+  /** The failure domain of the target or gateway with this number. */
+  domain(number: number): string {
+    return failureDomains[number % failureDomains.length] ?? '';
+  }
+
+  /** Writes the next version of the configuration. */
+  configure(choices: RouteChoices): void {
+    this.choices = choices;
+    const increment = 3; // versions need not follow one another without gaps
+    this.version += increment;
+    const routes: ReadonlyArray<readonly [string, string, string]> = [
+      ...fixedRoutes,
+      ['send', 'upload', choices.sendService],
+      ...(choices.hasNewRoute ? [['new', 'idempotent', 'pages'] as const] : []),
+    ];
+    const paths = routes.map(([name, kind, service]) =>
+      wireRoute(name, `/${name}/`, kind, service),
+    );
+    const services = Object.keys(targetCounts).map(name => ({
+      name,
+      healthPath: '/health',
+      coldStartS: 2,
+      coldPerS: 8,
+    }));
+    const spec = wireConfiguration(this.version, {services, hosts: [{host: 'one.example', paths}]});
+    const {table} = this.store;
+    if (table.get(configurationKind, configurationName) === undefined) {
+      table.create(configurationKind, configurationName, {spec});
+    } else {
+      table.replace(configurationKind, configurationName, {spec});
+    }
+    this.recorder.configurations.push({
+      version: this.version,
+      atMs: this.nowMs(),
+      services: Object.fromEntries(routes.map(([name, , service]) => [`/${name}/`, service])),
+    });
+  }
+
+  /** Asks that nothing be sent to a failure domain, or takes that back. */
+  evacuate(failureDomain: string, evacuated: boolean): void {
+    const {table} = this.store;
+    if (evacuated) table.create(evacuationKind, failureDomain, {spec: {}});
+    else table.remove(evacuationKind, failureDomain);
+  }
+
+  /** Notes a disruption that lasts until the returned function is called. */
+  disrupt(subject: string, kind: string, planned = false): () => void {
+    const fromMs = this.nowMs();
+    const open: Disruption = {subject, kind, planned, fromMs, untilMs: Infinity};
+    const {disruptions} = this.recorder;
+    disruptions.push(open);
+    return () => {
+      disruptions[disruptions.indexOf(open)] = {...open, untilMs: this.nowMs()};
+    };
+  }
+
+  private async addGateway(number: number, storePort: number): Promise<GatewayProcess> {
+    const host = ownLoopbackAddress();
+    const name = `gateway-${number + 1}`;
+    const failureDomain = this.domain(number);
+    const [front = 0, ready = 0, directory = 0, metrics = 0, peer = 0] = await findFreePorts(
+      host,
+      5,
+    );
+    const callerLink = new FaultProxy({host, port: front});
+    const storeLink = new FaultProxy({host: '127.0.0.1', port: storePort});
+    const ports = {store: await storeLink.start(), front, ready, directory, metrics, peer};
+    const region = regions[failureDomain] ?? '';
+    const place = {name, region, failureDomain, regions, stopGraceS};
+    const settingsFile = join(this.options.folder, `${name}.json`);
+    writeFileSync(settingsFile, settingsText(this.options.template, ports, host, place));
+    return new GatewayProcess(
+      {
+        name,
+        program: this.options.program,
+        settingsFile,
+        logFile: join(this.options.folder, `${name}.log`),
+        host,
+        callerPort: front,
+        readinessPort: ready,
+        lookupPort: directory,
+        callerLinkPort: await callerLink.start(),
+        stopGraceMs: stopGraceS * 1000,
+      },
+      callerLink,
+      storeLink,
+      this.recorder,
+      () => this.nowMs(),
+    );
+  }
+}
--- a/scripts/bundle_gateway.mjs
+++ b/scripts/bundle_gateway.mjs
@@ -1,5 +1,5 @@
 /**
- * Bundles the gateway program into one file under target/. One file without the unused parts of its libraries starts
+ * Bundles the gateway program into one file under target/, or into the file that is named as the first argument. One file without the unused parts of its libraries starts
  * several times faster than the same modules loaded one by one, and a restart is paid for in processor time.
  */
 import {existsSync, readdirSync} from 'node:fs';
@@ -14,7 +14,7 @@
 
 await build({
   entryPoints: ['platform/src/bin/gateway.ts'],
-  outfile: 'target/cuminsill-gateway.js',
+  outfile: process.argv[2] ?? 'target/cuminsill-gateway.js',
   bundle: true,
   alias: sources,
   platform: 'node',
