Explain a request and show a gateway from the command line

Change: cuminsill gateway explain tells from logs what became of a request: the decision, the facts with their age, each try, and what the gateway learned around that time. cuminsill gateway status shows a running gateway; the status page now also says what is left for retries. cuminsill gateway check checks a settings file.

Served and failed requests have separate rates of log lines: under a flood, served requests had used up the rate and a complaint found no line (decision_log.test, which the old single rate fails). A defect of the gateway has a line of its own kind instead of a stop line.

The soak now takes the ports of all gateways at once.

--- a/packages/cli/src/run_cli.ts
+++ b/packages/cli/src/run_cli.ts
@@ -9,6 +9,9 @@
 import {registerCatalogPut} from './commands/catalog_put';
 import {registerDrain} from './commands/drain';
 import {registerExplain} from './commands/explain';
+import {registerGatewayCheck} from './commands/gateway_check';
+import {registerGatewayExplain} from './commands/gateway_explain';
+import {registerGatewayStatus} from './commands/gateway_status';
 import {registerIntentConfirm} from './commands/intent_confirm';
 import {registerIntentList} from './commands/intent_list';
 import {registerIntentPlan} from './commands/intent_plan';
@@ -54,6 +57,11 @@
     commands: [registerCatalogPut],
   },
   {name: 'settings', description: 'Checks settings files.', commands: [registerSettingsCheck]},
+  {
+    name: 'gateway',
+    description: "Explains and shows gateways on the users' platform.",
+    commands: [registerGatewayExplain, registerGatewayStatus, registerGatewayCheck],
+  },
 ];
 
 /** Runs the command that the arguments name. Never rejects. */
--- /dev/null
+++ b/packages/gateway/__tests__/decision_log.test.ts
@@ -0,0 +1,65 @@
+import {ManualTime} from '@cuminsill/utils';
+import type {RequestDecision} from '../src/decision_log';
+import {DecisionLog} from '../src/decision_log';
+
+const decision: RequestDecision = {
+  requestId: 'r',
+  route: 'read',
+  service: 'pages',
+  objectKey: undefined,
+  configVersion: 1,
+  outcome: 'relayed',
+  status: 200,
+  elapsedMs: 5,
+  usableTargets: 1,
+  listedTargets: 1,
+  storeAgeMs: 10,
+  tries: [],
+};
+
+type Line = Readonly<Record<string, unknown>>;
+
+function makeLog(): {readonly log: DecisionLog; readonly lines: Line[]; readonly time: ManualTime} {
+  const lines: Line[] = [];
+  const time = new ManualTime();
+  const output = {
+    write: (text: string) => lines.push(JSON.parse(text) as Line),
+    takeDropped: () => 0,
+    drain: () => Promise.resolve(),
+  };
+  return {log: new DecisionLog('gateway-1', time, output), lines, time};
+}
+
+// Guards against a complaint whose request left no line because served requests had used up the rate.
+test('a flood of served requests leaves room for the lines of failed ones', () => {
+  const {log, lines} = makeLog();
+  for (let sent = 0; sent < 10_000; sent += 1) log.request(decision);
+  log.request({...decision, requestId: 'failed', outcome: 'outcome-unknown', status: 502});
+  expect(lines.at(-1)).toMatchObject({requestId: 'failed', status: 502});
+});
+
+test.each([
+  ['served', 'relayed', 200],
+  ['failed at its target', 'relayed', 500],
+  ['refused', 'overloaded', 503],
+])('a flood of requests that were %s is bounded, and the gap is told', (_name, outcome, status) => {
+  const {log, lines, time} = makeLog();
+  const floodS = 10;
+  const requestsPerS = 1_000;
+  for (let sent = 0; sent < floodS * requestsPerS; sent += 1) {
+    log.request({...decision, outcome, status});
+    time.advance(1_000 / requestsPerS);
+  }
+  const burst = 160;
+  const linesPerS = 40;
+  expect(lines.length).toBeLessThanOrEqual(burst + floodS * linesPerS);
+  const told = lines.reduce((sum, line) => sum + Number(line['suppressedLines'] ?? 0), 0);
+  expect(lines.length + told).toBeGreaterThan(floodS * requestsPerS * 0.9);
+});
+
+test('changes of belief keep their lines under a flood of requests', () => {
+  const {log, lines} = makeLog();
+  for (let sent = 0; sent < 1_000; sent += 1) log.request(decision);
+  log.belief('store', {kind: 'targets', connected: false});
+  expect(lines.at(-1)).toMatchObject({line: 'store', connected: false});
+});
--- /dev/null
+++ b/packages/gateway/__tests__/explain_request.test.ts
@@ -0,0 +1,98 @@
+import {explainRequest, storyText} from '../src/explain_request';
+
+const at = (seconds: number) => new Date(1_700_000_000_000 + seconds * 1_000).toISOString();
+
+function line(kind: string, seconds: number, fields: object, gateway = 'gateway-1'): string {
+  return JSON.stringify({line: kind, gateway, time: at(seconds), ...fields});
+}
+
+const lost = {
+  requestId: 'r-1',
+  route: 'book',
+  service: 'orders',
+  configVersion: 7,
+  outcome: 'outcome-unknown',
+  status: 502,
+  elapsedMs: 16,
+  expectedMs: 12,
+  waitMs: 0,
+  usableTargets: 1,
+  listedTargets: 2,
+  storeAgeMs: 63,
+  tries: [{targetId: 'i-0', end: 'lost', elapsedMs: 9, detail: 'read ECONNRESET'}],
+};
+
+test('tells what was decided, by which facts, and what was learned about the target', () => {
+  const log = [
+    line('target', 99, {targetId: 'i-0', state: 'unreachable', reason: 'connect ECONNREFUSED'}),
+    line('target', 99, {targetId: 'i-9', state: 'unreachable', reason: 'another target'}),
+    line('request', 100, lost),
+    line('request', 100, {...lost, requestId: 'r-2'}),
+  ].join('\n');
+  const [story] = explainRequest(log, 'r-1');
+  const text = story === undefined ? '' : storyText(story);
+  expect(text).toContain('refused with 502 after 16 ms, 5012 outcome-unknown');
+  expect(text).toContain('target i-0 ended the connection without an answer');
+  expect(text).toContain('(read ECONNRESET), 9 ms');
+  expect(text).toContain('1 of 2 targets usable, by a list that was 63 ms old');
+  expect(text).toContain('target i-0: unreachable, connect ECONNREFUSED');
+  expect(text).not.toContain('i-9');
+});
+
+const refused = {...lost, outcome: 'no-usable-target', status: 503, tries: [], retryAfterMs: 250};
+const surroundings: ReadonlyArray<readonly [string, string, string]> = [
+  [
+    'an evacuation',
+    line('evacuation', 95, {failureDomain: 'a-1', evacuated: true}),
+    'evacuation of a-1 begins',
+  ],
+  [
+    'an outage of the store',
+    line('store', 95, {kind: 'targets', connected: false, reason: 'ECONNRESET'}),
+    'store does not answer for targets: ECONNRESET',
+  ],
+  [
+    'a configuration',
+    line('configuration', 95, {event: 'applied', version: 7}),
+    'configuration 7: applied',
+  ],
+  [
+    'a target of the service, when none was tried',
+    line('target', 95, {event: 'removed', targetId: 'i-5', service: 'orders'}),
+    'target i-5: removed',
+  ],
+  ['a stop', line('stop', 101, {phase: 'leaving'}), 'the gateway stops, phase leaving'],
+];
+
+test.each(surroundings)('names %s near the request', (_name, other, expected) => {
+  const [story] = explainRequest(`${other}\n${line('request', 100, refused)}`, 'r-1');
+  expect(story?.surroundings.map(({text}) => text)).toEqual([expected]);
+  expect(story?.decision[0]).toContain('The caller may come back in 250 ms');
+});
+
+test('leaves out what happened long before, and at other gateways', () => {
+  const log = [
+    line('evacuation', 10, {failureDomain: 'a-1', evacuated: true}),
+    line('evacuation', 99, {failureDomain: 'a-2', evacuated: true}, 'gateway-2'),
+    line('request', 100, refused),
+  ].join('\n');
+  expect(explainRequest(log, 'r-1')[0]?.surroundings).toEqual([]);
+});
+
+test('says how many lines near the request are missing', () => {
+  const gap = line('request', 99, {
+    ...lost,
+    requestId: 'other',
+    suppressedLines: 30,
+    droppedLines: 2,
+  });
+  const [story] = explainRequest(`${gap}\n${line('request', 100, lost)}`, 'r-1');
+  expect(story?.missingLines).toBe(32);
+});
+
+test('tells one story for each gateway that took the request, and passes over lines that are no JSON', () => {
+  const log = ['(node:1) warning', line('request', 1, lost), line('request', 1, lost, 'gateway-2')];
+  const stories = explainRequest(log.join('\n'), 'r-1');
+  expect(stories.map(({gateway}) => gateway)).toEqual(['gateway-1', 'gateway-2']);
+  expect(explainRequest(log.join('\n'), 'unknown')).toEqual([]);
+});
--- a/packages/gateway/src/caller_server.ts
+++ b/packages/gateway/src/caller_server.ts
@@ -114,7 +114,7 @@
   }
 
   private defect(response: http.ServerResponse, cause: Cause.Cause<never>): void {
-    this.parts.log.belief('stop', {defect: Cause.pretty(cause)});
+    this.parts.log.belief('defect', {cause: Cause.pretty(cause)});
     response.destroy();
   }
 
--- a/packages/gateway/src/decision_log.ts
+++ b/packages/gateway/src/decision_log.ts
@@ -8,13 +8,18 @@
 import type {BoundedLogStream} from './bounded_log_stream';
 import type {TryNote} from './attempt_record';
 
-/** Lines per second for requests; what exceeds it is counted and told in a later line. */
-const requestLinesPerS = 60;
-const requestLineBurst = 120;
+/** Lines per second for requests that were served; what exceeds a rate is counted and told in a later line. */
+const servedLinesPerS = 40;
+const servedLineBurst = 80;
+/** Lines per second for other requests, of which served ones take nothing: callers complain of these. */
+const failedLinesPerS = 40;
+const failedLineBurst = 160;
 /** Lines per second for changes of belief, which come in groups when a failure domain is lost. */
 const beliefLinesPerS = 50;
 const beliefLineBurst = 200;
 
+const firstErrorStatus = 400;
+
 /** One request and what was decided about it. */
 export interface RequestDecision {
   readonly requestId: string;
@@ -37,7 +42,15 @@
 
 /** Kinds of lines beside those for requests. */
 export type BeliefLine =
-  'start' | 'stop' | 'reload' | 'configuration' | 'target' | 'evacuation' | 'store' | 'peer';
+  | 'start'
+  | 'stop'
+  | 'reload'
+  | 'configuration'
+  | 'target'
+  | 'evacuation'
+  | 'store'
+  | 'peer'
+  | 'defect';
 
 /** Where lines go. */
 export type LogOutput = Pick<BoundedLogStream, 'write' | 'takeDropped' | 'drain'>;
@@ -45,7 +58,8 @@
 /** Writes the lines of one gateway. */
 export class DecisionLog {
   private readonly bunyan: Bunyan;
-  private readonly requestBucket: TokenBucket;
+  private readonly servedBucket: TokenBucket;
+  private readonly failedBucket: TokenBucket;
   private readonly beliefBucket: TokenBucket;
   private suppressed = 0;
 
@@ -59,13 +73,15 @@
       gateway: gatewayName,
       streams: [{stream: output as unknown as NodeJS.WritableStream}],
     });
-    this.requestBucket = new TokenBucket(requestLinesPerS, requestLineBurst, time);
+    this.servedBucket = new TokenBucket(servedLinesPerS, servedLineBurst, time);
+    this.failedBucket = new TokenBucket(failedLinesPerS, failedLineBurst, time);
     this.beliefBucket = new TokenBucket(beliefLinesPerS, beliefLineBurst, time);
   }
 
   /** Writes what was decided about a request. */
   request(decision: RequestDecision): void {
-    this.write(this.requestBucket, 'request', decision);
+    const isServed = decision.outcome === 'relayed' && decision.status < firstErrorStatus;
+    this.write(isServed ? this.servedBucket : this.failedBucket, 'request', decision);
   }
 
   /** Writes a change of what the gateway believes. */
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,5 +1,7 @@
 /** The gateway: answers look-ups of callers and forwards their requests to targets, on a platform behind ports. */
 export type {LogOutput} from './decision_log';
+export * from './explain_request';
+export type {GatewayStatus} from './status_page';
 export * from './gateway';
 export * from './gateway_ports';
 export {decodeSettings, SettingsError} from './gateway_settings';
--- a/packages/gateway/src/retry_allowance.ts
+++ b/packages/gateway/src/retry_allowance.ts
@@ -14,6 +14,15 @@
   readonly slack: number;
 }
 
+/** What is left of the allowance for a service. */
+export interface RetryStatus {
+  readonly service: string;
+  /** Further sendings that the service's own requests have earned. */
+  readonly earned: number;
+  /** Further sendings that are left of the slack in this window. */
+  readonly slackLeft: number;
+}
+
 /** Part of the limit that is used; the rest covers a number of gateways that is not known exactly. */
 const usedShare = 0.7;
 /** Saved credit is bounded, so that a calm time does not pay for a flood of retries later. */
@@ -44,6 +53,17 @@
     return this.of(service).tryTake(nowMs, this.limit().windowMs, this.ownSlack(nowMs));
   }
 
+  /** What is left for each service that had requests. */
+  status(): readonly RetryStatus[] {
+    const nowMs = this.time.monotonicMs();
+    const slack = this.ownSlack(nowMs);
+    return [...this.byService].map(([service, allowance]) => ({
+      service,
+      earned: Math.floor(allowance.earned),
+      slackLeft: allowance.slackLeft(nowMs, this.limit().windowMs, slack),
+    }));
+  }
+
   /**
    * Slack of this gateway in each window. With more gateways than slack, a gateway has one further sending in every few
    * windows, at moments that differ between gateways.
@@ -70,6 +90,14 @@
   /** Times at which slack was taken, oldest first; never more than the slack of a window. */
   private slackTakenAtMs: readonly number[] = [];
 
+  get earned(): number {
+    return this.earnedCredit;
+  }
+
+  slackLeft(nowMs: number, windowMs: number, slack: number): number {
+    return Math.max(0, slack - this.takenSince(nowMs - windowMs).length);
+  }
+
   earn(amount: number): void {
     this.earnedCredit = Math.min(maxEarnedCredit, this.earnedCredit + amount);
   }
@@ -79,9 +107,13 @@
       this.earnedCredit -= 1;
       return true;
     }
-    const inWindow = this.slackTakenAtMs.filter(takenAtMs => nowMs - takenAtMs < windowMs);
+    const inWindow = this.takenSince(nowMs - windowMs);
     if (inWindow.length >= slack) return false;
     this.slackTakenAtMs = [...inWindow, nowMs];
     return true;
   }
+
+  private takenSince(sinceMs: number): readonly number[] {
+    return this.slackTakenAtMs.filter(takenAtMs => takenAtMs > sinceMs);
+  }
 }
--- a/packages/gateway/src/status_page.ts
+++ b/packages/gateway/src/status_page.ts
@@ -1,8 +1,36 @@
 /** The status page: what the gateway believes, how old it is, and why a target is not used. */
 import type {GatewayParts} from './gateway_parts';
 import type {FeedState} from './object_feed';
+import type {RouteRule} from './gateway_types';
+import type {RetryStatus} from './retry_allowance';
 import type {Target} from './target';
 
+/** The status page as its readers get it. */
+export interface GatewayStatus {
+  readonly gateway: string;
+  readonly configVersion: number;
+  readonly feeds: readonly FeedState[];
+  readonly evacuatedDomains: readonly string[];
+  readonly gateways: readonly string[];
+  readonly routes: readonly RouteRule[];
+  readonly targets: readonly TargetStatus[];
+  readonly retries: readonly RetryStatus[];
+}
+
+/** One target on the status page. */
+export interface TargetStatus {
+  readonly id: string;
+  readonly service: string;
+  readonly address: string;
+  readonly failureDomain: string;
+  /** Why the target is not used, or that it is. */
+  readonly state: string;
+  readonly inFlight: number;
+  readonly estimatedLoad: number;
+  readonly failureRate: number;
+  readonly slowness: number;
+}
+
 /** Targets of a service that are in the same state. */
 export interface TargetCount {
   readonly service: string;
@@ -14,22 +42,20 @@
 export function statusPage(parts: GatewayParts, feeds: readonly FeedState[]): string {
   const nowMs = parts.time.monotonicMs();
   const {routes, version} = parts.configuration;
-  return JSON.stringify(
-    {
-      gateway: parts.settings.value.name,
-      configVersion: version,
-      feeds,
-      evacuatedDomains: [...parts.evacuations.evacuatedDomains],
-      gateways: parts.peers.namesInUse(),
-      routes: routes?.configuration.routes ?? [],
-      targets: [...parts.targets.all()].map(target => describe(parts, target, nowMs)),
-    },
-    undefined,
-    2,
-  );
+  const status: GatewayStatus = {
+    gateway: parts.settings.value.name,
+    configVersion: version,
+    feeds,
+    evacuatedDomains: [...parts.evacuations.evacuatedDomains],
+    gateways: parts.peers.namesInUse(),
+    routes: routes?.configuration.routes ?? [],
+    targets: [...parts.targets.all()].map(target => describe(parts, target, nowMs)),
+    retries: parts.retries.status(),
+  };
+  return JSON.stringify(status, undefined, 2);
 }
 
-function describe(parts: GatewayParts, target: Target, nowMs: number): object {
+function describe(parts: GatewayParts, target: Target, nowMs: number): TargetStatus {
   const workMs = parts.timings.of(target.service).meanWorkMs();
   return {
     id: target.id,
--- a/packages/soak/src/soak_world.ts
+++ b/packages/soak/src/soak_world.ts
@@ -40,6 +40,7 @@
 ];
 
 const stopGraceS = 3;
+const portsPerGateway = 5;
 const configurationKind = 'config';
 const configurationName = 'main';
 const evacuationKind = 'evacuations';
@@ -77,8 +78,13 @@
         await this.fleet.add(service, this.domain(number), 0);
       }
     }
-    for (let number = 0; number < this.options.gatewayCount; number += 1) {
-      this.gateways.push(await this.addGateway(number, storePort));
+    const {gatewayCount} = this.options;
+    // All at once, because a port that was found free before its gateway listens could be found a second time.
+    const ports = await findFreePorts(ownLoopbackAddress(), gatewayCount * portsPerGateway);
+    for (let number = 0; number < gatewayCount; number += 1) {
+      const start = number * portsPerGateway;
+      const own = ports.slice(start, start + portsPerGateway);
+      this.gateways.push(await this.addGateway(number, storePort, own));
     }
     for (const gateway of this.gateways) gateway.start();
   }
@@ -150,14 +156,14 @@
     };
   }
 
-  private async addGateway(number: number, storePort: number): Promise<GatewayProcess> {
+  private async addGateway(
+    number: number,
+    storePort: number,
+    [front = 0, ready = 0, directory = 0, metrics = 0, peer = 0]: readonly number[],
+  ): Promise<GatewayProcess> {
     const host = ownLoopbackAddress();
     const name = `gateway-${number + 1}`;
     const failureDomain = this.domain(number);
-    const [front = 0, ready = 0, directory = 0, metrics = 0, peer = 0] = await findFreePorts(
-      host,
-      5,
-    );
     const callerLink = new FaultProxy({host, port: front});
     const storeLink = new FaultProxy({host: '127.0.0.1', port: storePort});
     const ports = {store: await storeLink.start(), front, ready, directory, metrics, peer};
