--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -15,16 +15,15 @@
 import type {LogOutput} from './decision_log';
 import {DecisionLog} from './decision_log';
 import {EvacuationView} from './evacuation_view';
+import {makeFeeds} from './gateway_feeds';
 import {GatewayMetrics} from './gateway_metrics';
+import type {GatewayPages} from './gateway_pages';
+import {makePages} from './gateway_pages';
 import type {GatewayParts} from './gateway_parts';
 import type {GatewayPorts} from './gateway_ports';
 import {CurrentSettings} from './gateway_settings';
 import type {GatewayRecord, GatewaySettings} from './gateway_types';
-import {answerLookup} from './lookup_answers';
-import type {FeedPace, FeedSink, FeedState} from './object_feed';
-import {ObjectFeed} from './object_feed';
-import type {ObjectSource} from './object_source';
-import {PageServer} from './page_server';
+import type {FeedState, ObjectFeed} from './object_feed';
 import {PathLatency} from './path_latency';
 import {PeerExchange} from './peer_exchange';
 import type {PeerMessage} from './peer_message';
@@ -34,20 +33,10 @@
 import {RetryAllowance} from './retry_allowance';
 import {ServiceSplit} from './service_split';
 import {ServiceTimings} from './service_timing';
-import {countTargets, statusPage} from './status_page';
 import {TargetConnections} from './target_connections';
 import {TargetDirectory} from './target_directory';
 import {TargetProber} from './target_prober';
 
-/** A silent connection to the store is noticed within the wait and the time-out of a call. */
-const watchWaitMs = 3_000;
-/** Configurations and evacuations change seldom and count at once. */
-const rarePace: FeedPace = {waitMs: watchWaitMs, gapMs: 50};
-/** Targets change often; several changes are fetched together. */
-const targetPace: FeedPace = {waitMs: watchWaitMs, gapMs: 600};
-/** Other gateways are told apart by their heartbeats, so their list may lag. */
-const gatewayPace: FeedPace = {waitMs: 20_000, gapMs: 500};
-
 /** New requests are refused after this part of the grace time, so that long ones can still end. */
 const refuseAfterShare = 0.45;
 /** The process ends this long before it would be killed, in milliseconds. */
@@ -63,7 +52,7 @@
   private readonly callers: CallerServer;
   private readonly prober: TargetProber;
   private readonly peers: PeerExchange;
-  private readonly pages: readonly PageServer[];
+  private readonly pages: GatewayPages;
   private readonly feeds: readonly ObjectFeed<unknown>[];
   private readonly ownRecord: GatewayRecord;
   private fibers: readonly Fiber.RuntimeFiber<unknown, unknown>[] = [];
@@ -86,20 +75,21 @@
     this.callers = new CallerServer(this.parts);
     this.prober = new TargetProber(this.parts);
     this.peers = this.makePeers();
-    this.pages = [this.lookupPages(), this.readinessPages(), this.metricsPages()];
-    this.feeds = this.makeFeeds();
+    this.feeds = makeFeeds(this.parts, ports);
+    this.pages = makePages(this.parts, ports.lookupWire, {
+      isReady: () => this.isReady(),
+      feedStates: () => this.feedStates(),
+    });
   }
 
   /** Starts everything. Fails when an address is taken. */
   start(): Effect.Effect<void, Error> {
     const {listen, region, failureDomain} = this.settings.value;
-    const addresses = [listen.lookups, listen.readiness, listen.metrics];
     return Effect.gen(this, function* () {
       yield* attempt(() => this.callers.listen(listen.callers));
-      for (const [index, page] of this.pages.entries()) {
-        const address = addresses[index];
-        if (address !== undefined) yield* attempt(() => page.listen(address));
-      }
+      yield* attempt(() => this.pages.lookups.listen(listen.lookups));
+      yield* attempt(() => this.pages.readiness.listen(listen.readiness));
+      yield* attempt(() => this.pages.metrics.listen(listen.metrics));
       yield* attempt(() => this.peers.start());
       this.prober.start();
       const feeds = this.feeds.map(feed => feed.run());
@@ -153,7 +143,7 @@
       yield* Fiber.interruptAll(this.fibers);
       this.prober.close();
       this.peers.close();
-      for (const page of this.pages) page.close();
+      for (const page of Object.values(this.pages)) page.close();
       this.parts.connections.destroy();
     });
   }
@@ -210,39 +200,6 @@
     }
   }
 
-  private makeFeeds(): readonly ObjectFeed<unknown>[] {
-    const {configuration, targets, evacuations, peers} = this.parts;
-    const targetSink = {
-      replace: targets.replace.bind(targets),
-      apply: targets.apply.bind(targets),
-      regained: (outageMs: number) => targets.storeRegained(outageMs),
-    };
-    return [
-      this.feed(this.ports.configurations, rarePace, sinkOf(configuration)),
-      this.feed(this.ports.evacuations, rarePace, sinkOf(evacuations)),
-      this.feed(this.ports.targets, targetPace, targetSink),
-      this.feed(this.ports.gateways, gatewayPace, sinkOf(peers)),
-    ];
-  }
-
-  private feed<Content>(
-    source: ObjectSource<Content>,
-    pace: FeedPace,
-    sink: Omit<FeedSink<Content>, 'lost'>,
-  ): ObjectFeed<unknown> {
-    const {log} = this.parts;
-    const logged: FeedSink<Content> = {
-      ...sink,
-      regained: outageMs => {
-        sink.regained(outageMs);
-        log.belief('store', {kind: source.kind, connected: true, outageMs: Math.round(outageMs)});
-      },
-      lost: error =>
-        log.belief('store', {kind: source.kind, connected: false, reason: error.message}),
-    };
-    return new ObjectFeed(source, pace, logged, this.time) as ObjectFeed<unknown>;
-  }
-
   private feedStates(): readonly FeedState[] {
     return this.feeds.map(feed => feed.state());
   }
@@ -281,50 +238,6 @@
   private isReady(): boolean {
     return this.state !== 'leaving' && this.parts.configuration.routes !== undefined;
   }
-
-  private lookupPages(): PageServer {
-    const {lookupWire} = this.ports;
-    const handler = (query: URLSearchParams) => {
-      const serving = this.parts.peers.servingOthers();
-      const named = this.isReady() ? [this.ownRecord, ...serving] : serving;
-      const answer = answerLookup(
-        lookupWire.readQuery(query),
-        named,
-        this.settings.value.bounds.maxLookupTtlMs,
-      );
-      const status = answer.addresses.length > 0 ? 200 : 503;
-      return {status, contentType: 'application/json', body: lookupWire.writeAnswer(answer)};
-    };
-    return new PageServer(new Map([[lookupWire.lookupPath, handler]]));
-  }
-
-  private readinessPages(): PageServer {
-    const handler = () => ({
-      status: this.isReady() ? 200 : 503,
-      contentType: 'text/plain',
-      body: this.isReady() ? 'ready\n' : 'not ready\n',
-    });
-    return new PageServer(new Map([[this.ports.lookupWire.readinessPath, handler]]));
-  }
-
-  private metricsPages(): PageServer {
-    const metrics = async () => {
-      this.parts.metrics.setTargets(countTargets(this.parts));
-      const body = await this.parts.metrics.text();
-      return {status: 200, contentType: 'text/plain; version=0.0.4', body};
-    };
-    const status = () => ({
-      status: 200,
-      contentType: 'application/json',
-      body: statusPage(this.parts, this.feedStates()),
-    });
-    return new PageServer(
-      new Map<string, () => ReturnType<typeof status> | ReturnType<typeof metrics>>([
-        ['/metrics', metrics],
-        ['/status', status],
-      ]),
-    );
-  }
 }
 
 function attempt(run: () => Promise<void>): Effect.Effect<void, Error> {
@@ -344,14 +257,3 @@
 function retryLimit({bounds}: GatewaySettings): RetryLimit {
   return {ratio: bounds.retryRatio, windowMs: bounds.retryWindowMs, slack: bounds.retrySlack};
 }
-
-/** A view that takes lists and changes and does not care about outages. */
-type View<Content> = Pick<FeedSink<Content>, 'replace' | 'apply'>;
-
-function sinkOf<Content>(view: View<Content>): Omit<FeedSink<Content>, 'lost'> {
-  return {
-    replace: list => view.replace(list),
-    apply: changes => view.apply(changes),
-    regained: () => undefined,
-  };
-}
--- /dev/null
+++ b/packages/gateway/src/gateway_pages.ts
@@ -0,0 +1,69 @@
+/** The pages of a gateway beside the callers' port: look-ups, readiness, and metrics with the status page. */
+import type {GatewayParts} from './gateway_parts';
+import {answerLookup} from './lookup_answers';
+import type {LookupWire} from './lookup_wire';
+import type {FeedState} from './object_feed';
+import {PageServer} from './page_server';
+import {countTargets, statusPage} from './status_page';
+
+/** The page servers. */
+export interface GatewayPages {
+  readonly lookups: PageServer;
+  readonly readiness: PageServer;
+  readonly metrics: PageServer;
+}
+
+/** What the pages show of the running gateway beside its parts. */
+export interface PageFacts {
+  isReady(): boolean;
+  feedStates(): readonly FeedState[];
+}
+
+/** Makes the page servers; none listens yet. */
+export function makePages(parts: GatewayParts, wire: LookupWire, facts: PageFacts): GatewayPages {
+  return {
+    lookups: lookupPages(parts, wire, facts),
+    readiness: readinessPages(wire, facts),
+    metrics: metricsPages(parts, facts),
+  };
+}
+
+function lookupPages(parts: GatewayParts, wire: LookupWire, facts: PageFacts): PageServer {
+  const handler = (query: URLSearchParams) => {
+    const serving = parts.peers.servingOthers();
+    const named = facts.isReady() ? [parts.peers.own, ...serving] : serving;
+    const {maxLookupTtlMs} = parts.settings.value.bounds;
+    const answer = answerLookup(wire.readQuery(query), named, maxLookupTtlMs);
+    const status = answer.addresses.length > 0 ? 200 : 503;
+    return {status, contentType: 'application/json', body: wire.writeAnswer(answer)};
+  };
+  return new PageServer(new Map([[wire.lookupPath, handler]]));
+}
+
+function readinessPages(wire: LookupWire, facts: PageFacts): PageServer {
+  const handler = () => {
+    const isReady = facts.isReady();
+    const body = isReady ? 'ready\n' : 'not ready\n';
+    return {status: isReady ? 200 : 503, contentType: 'text/plain', body};
+  };
+  return new PageServer(new Map([[wire.readinessPath, handler]]));
+}
+
+function metricsPages(parts: GatewayParts, facts: PageFacts): PageServer {
+  const metrics = async () => {
+    parts.metrics.setTargets(countTargets(parts));
+    const body = await parts.metrics.text();
+    return {status: 200, contentType: 'text/plain; version=0.0.4', body};
+  };
+  const status = () => ({
+    status: 200,
+    contentType: 'application/json',
+    body: statusPage(parts, facts.feedStates()),
+  });
+  return new PageServer(
+    new Map<string, () => ReturnType<typeof status> | ReturnType<typeof metrics>>([
+      ['/metrics', metrics],
+      ['/status', status],
+    ]),
+  );
+}
--- a/packages/gateway/src/placement.ts
+++ b/packages/gateway/src/placement.ts
@@ -92,10 +92,10 @@
   const staysNear = belongsNear(request, targets, view);
   const ranks = rankTargets(request, staysNear, usable, view);
   let best: Candidate | undefined;
-  for (const [index, target] of usable.entries()) {
+  usable.forEach((target, index) => {
     const candidate = consider(target, ranks[index] ?? 0, request, view);
     if (best === undefined || candidate.costMs < best.costMs) best = candidate;
-  }
+  });
   return best?.placement;
 }
 
@@ -134,14 +134,14 @@
   if (objectKey === undefined) return ranks;
   const objectHash = hash32(objectKey);
   const order = new Float64Array(targets.length);
-  for (const [index, target] of targets.entries()) {
+  targets.forEach((target, index) => {
     const isFirst = isNear(target, request.bodyBytes, view) === staysNear;
     const weight = largestHash - combineHashes(target.idHash, objectHash);
     order[index] = ((isFirst ? 0 : largestHash + 1) + weight) * maxRankedTargets + index;
-  }
+  });
   // Sorts numbers, without a comparison function: this runs for each request over all targets of a service.
   order.sort();
-  for (const [rank, key] of order.entries()) ranks[key % maxRankedTargets] = rank;
+  order.forEach((key, rank) => (ranks[key % maxRankedTargets] = rank));
   return ranks;
 }
 
