Keep virtual time once, in the stand-ins

membership and standins each had a VirtualTime. That of membership, which holds a thousand sleepers in a heap, replaces the other and gains its run(); the pausable clock and the heap are modules of their own. start() is fork() now. Tests of claims pass with it (36, among them the 10,000 histories of at_most_once).

--- a/jest.config.js
+++ b/jest.config.js
@@ -10,7 +10,6 @@
   testPathIgnorePatterns: ['/node_modules/', '/dist/'],
   modulePathIgnorePatterns: ['/dist/'],
   moduleNameMapper: {
-    '^@cuminsill/membership/virtual_time$': '<rootDir>/packages/membership/src/virtual_time.ts',
     '^@cuminsill/steering/bench$': '<rootDir>/packages/steering/__fixtures__/bench.ts',
     '^@cuminsill/platform$': '<rootDir>/platform/src/index.ts',
     '^@cuminsill/([a-z_]+)$': '<rootDir>/packages/$1/src/index.ts',
--- a/packages/claims/__tests__/claim_shard.test.ts
+++ b/packages/claims/__tests__/claim_shard.test.ts
@@ -130,7 +130,7 @@
     harness.time.advance(1_000);
     const before = harness.store.callCounts().writes;
     for (let index = 0; index < 1_000; index += 1) {
-      harness.time.start(owner.claim(harness.request(`k${index}`, `entry#${index}`)));
+      harness.time.fork(owner.claim(harness.request(`k${index}`, `entry#${index}`)));
       harness.time.advance(1);
     }
     expect(harness.store.callCounts().writes - before).toBeLessThanOrEqual(11);
--- a/packages/claims/__tests__/claim_simulation.ts
+++ b/packages/claims/__tests__/claim_simulation.ts
@@ -81,8 +81,8 @@
 
   /** Runs the history and then a time without failures, and asks for every operation's outcome. */
   run(): HistoryResult {
-    for (const step of this.history.events) this.time.start(this.at(step.atMs, this.event(step)));
-    for (const step of this.history.calls) this.time.start(this.at(step.atMs, this.call(step)));
+    for (const step of this.history.events) this.time.fork(this.at(step.atMs, this.event(step)));
+    for (const step of this.history.calls) this.time.fork(this.at(step.atMs, this.call(step)));
     this.time.advance(30_000);
     this.heal();
     this.time.advance(70_000);
--- a/packages/config_sync/measure/measure_config.mjs
+++ b/packages/config_sync/measure/measure_config.mjs
@@ -13,7 +13,6 @@
 import {Duration, Effect, Exit, Scope} from 'effect';
 import snapshotState from '../dist/snapshot_state.js';
 import largeValue from '../dist/large_value.js';
-import virtualTime from '../../membership/dist/virtual_time.js';
 
 const fleets = [
   {instances: 10, regions: 3, changes: 20},
@@ -58,7 +57,7 @@
 
 class Fleet {
   constructor({instances, regions}) {
-    this.time = new virtualTime.VirtualTime();
+    this.time = new standins.VirtualTime();
     this.store = new standins.MemoryStore();
     this.store.setLatency(5);
     this.nodes = new Map();
--- a/packages/loadtool/src/replay/config_fleet.ts
+++ b/packages/loadtool/src/replay/config_fleet.ts
@@ -2,8 +2,7 @@
 import {ConfigSync, ConfigTransportError} from '@cuminsill/config_sync';
 import type {ConfigSyncSettings, SubmitError, SubmitResult} from '@cuminsill/config_sync';
 import {silentLogger, silentMetrics} from '@cuminsill/logger';
-import {VirtualTime} from '@cuminsill/membership/virtual_time';
-import {MemoryStore} from '@cuminsill/standins';
+import {MemoryStore, VirtualTime} from '@cuminsill/standins';
 import type {PlatformStore} from '@cuminsill/store';
 import {StoreUnavailableError} from '@cuminsill/store';
 import type {
--- a/packages/membership/__tests__/support/sim_fleet.ts
+++ b/packages/membership/__tests__/support/sim_fleet.ts
@@ -1,13 +1,13 @@
 /** A fleet of memberships on virtual time, joined by a network with delays, drops and cuts. */
 import {silentLogger, silentMetrics} from '@cuminsill/logger';
 import type {HeartbeatReply, HeartbeatRequest} from '@cuminsill/protocol';
+import {PausableClock, VirtualTime} from '@cuminsill/standins';
 import type {Instance, Member, SocketAddress} from '@cuminsill/types';
 import {seededRandom} from '@cuminsill/utils';
 import {Duration, Effect, Exit, Scope} from 'effect';
 import {Membership} from '../../src/membership';
 import type {ListedInstance, MembershipSettings} from '../../src/options';
 import {HeartbeatError} from '../../src/options';
-import {PausableClock, VirtualTime} from '../../src/virtual_time';
 
 /** Never ends. Effect.never would hold a real timer, which keeps the test process alive. */
 const noAnswer: Effect.Effect<never> = Effect.async<never>(() => undefined);
--- a/packages/membership/measure/measure_membership.mjs
+++ b/packages/membership/measure/measure_membership.mjs
@@ -10,7 +10,7 @@
 import protocol from '@cuminsill/protocol';
 import utils from '@cuminsill/utils';
 import {Duration, Effect, Exit, Scope} from 'effect';
-import virtualTime from '../dist/virtual_time.js';
+import standins from '@cuminsill/standins';
 
 const {HeartbeatReplySchema, HeartbeatRequestSchema, InstanceViewSchema} = protocol;
 const memberCounts = [10, 100, 1_000, 3_500];
@@ -58,7 +58,7 @@
 }
 
 function measure(memberCount) {
-  const time = new virtualTime.VirtualTime();
+  const time = new standins.VirtualTime();
   const random = utils.seededRandom(7);
   const instances = Array.from({length: memberCount}, (_, index) => instanceOf(index));
   const byHost = new Map(
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -14,5 +14,6 @@
 export * from './target_fleet';
 export * from './target_mode';
 export * from './instance_settings';
+export * from './pausable_clock';
 export * from './virtual_time';
 export * from './users_platform';
--- a/packages/standins/src/virtual_time.ts
+++ b/packages/standins/src/virtual_time.ts
@@ -1,75 +1,83 @@
 /**
- * Virtual time for simulations and measurements: fibers run to their next wait in a fixed order, then the clock
- * moves to the next wake-up. Nothing waits for real time, so a run with a seed is repeatable.
+ * A clock and a scheduler for simulations of many instances in one process: virtual time passes only when it is
+ * told to, and everything runs synchronously in a fixed order. Effect's TestClock waits for real milliseconds and
+ * sorts all sleeping fibers at each step, which takes minutes with a thousand instances. A run with a seed is
+ * repeatable.
  */
 import type {TimeSource} from '@cuminsill/utils';
 import type {Fiber, Scheduler} from 'effect';
 import {Clock, Duration, Effect} from 'effect';
+import {MinHeap} from './min_heap';
 
-interface Sleeper {
-  readonly wakeAtMs: number;
-  readonly order: number;
-  readonly wake: () => void;
+const longestRunMs = 600_000;
+
+interface Wakeup {
+  cancelled: boolean;
+  readonly run: () => void;
 }
 
-/** A clock and a scheduler under the control of their owner. */
-export class VirtualTime implements TimeSource {
-  private currentMs = 1_700_000_000_000;
-  private order = 0;
+/** Virtual time. */
+export class VirtualTime implements Clock.Clock, TimeSource {
+  readonly [Clock.ClockTypeId]: Clock.ClockTypeId = Clock.ClockTypeId;
+  readonly currentTimeMillis = Effect.sync(() => this.currentMs);
+  readonly currentTimeNanos = Effect.sync(() => this.unsafeCurrentTimeNanos());
+  private readonly wakeups = new Map<number, Wakeup[]>();
+  private readonly times = new MinHeap();
   private tasks: Array<() => void> = [];
-  private readonly sleepers: Sleeper[] = [];
-  private readonly clock: Clock.Clock;
   private readonly scheduler: Scheduler.Scheduler = {
-    shouldYield: () => false,
+    shouldYield: fiber => (fiber.currentOpCount > 2_048 ? 0 : false),
     scheduleTask: task => void this.tasks.push(task),
   };
 
-  constructor() {
-    this.clock = {
-      [Clock.ClockTypeId]: Clock.ClockTypeId,
-      unsafeCurrentTimeMillis: () => this.currentMs,
-      unsafeCurrentTimeNanos: () => BigInt(Math.round(this.currentMs * 1e6)),
-      currentTimeMillis: Effect.sync(() => this.currentMs),
-      currentTimeNanos: Effect.sync(() => BigInt(Math.round(this.currentMs * 1e6))),
-      sleep: duration => this.sleep(Duration.toMillis(duration)),
-    };
+  /** @param currentMs Start in milliseconds since the Unix epoch. */
+  constructor(private currentMs = 1_700_000_000_000) {}
+
+  unsafeCurrentTimeMillis(): number {
+    return this.currentMs;
+  }
+
+  unsafeCurrentTimeNanos(): bigint {
+    return BigInt(this.currentMs) * 1_000_000n;
   }
 
+  /** Milliseconds since the Unix epoch, as a `TimeSource`. */
   nowMs(): number {
     return this.currentMs;
   }
 
+  /** Monotonic milliseconds, as a `TimeSource`. */
   monotonicMs(): number {
     return this.currentMs;
   }
 
-  /** Starts an effect under this time. */
-  start<A, E>(effect: Effect.Effect<A, E>): Fiber.RuntimeFiber<A, E> {
-    return Effect.runFork(Effect.withClock(effect, this.clock), {scheduler: this.scheduler});
+  sleep(duration: Duration.Duration): Effect.Effect<void> {
+    return Effect.async<void>(resume => {
+      const wakeup: Wakeup = {cancelled: false, run: () => resume(Effect.void)};
+      this.schedule(Duration.toMillis(duration), wakeup);
+      return Effect.sync(() => void (wakeup.cancelled = true));
+    });
   }
 
-  /** Runs everything that is due within the duration, in milliseconds. */
-  advance(durationMs: number): void {
-    const endMs = this.currentMs + durationMs;
+  /** Calls a function after some milliseconds. */
+  after(durationMs: number, run: () => void): void {
+    this.schedule(durationMs, {cancelled: false, run});
+  }
+
+  /** Starts an effect on this clock, or on the given clock of one instance. */
+  fork<A, E>(effect: Effect.Effect<A, E>, clock: Clock.Clock = this): Fiber.RuntimeFiber<A, E> {
+    const fiber = Effect.runFork(effect.pipe(Effect.withClock(clock)), {
+      scheduler: this.scheduler,
+    });
     this.runTasks();
-    for (;;) {
-      const next = this.sleepers[0];
-      if (next === undefined || next.wakeAtMs > endMs) break;
-      this.sleepers.shift();
-      this.currentMs = Math.max(this.currentMs, next.wakeAtMs);
-      next.wake();
-      this.runTasks();
-    }
-    this.currentMs = endMs;
+    return fiber;
   }
 
   /** Runs an effect to its end, for at most `limitMs` milliseconds; throws when it has not ended. */
-  run<A, E>(effect: Effect.Effect<A, E>, limitMs = 600_000): A {
-    const fiber = this.start(effect);
+  run<A, E>(effect: Effect.Effect<A, E>, limitMs = longestRunMs): A {
+    const fiber = this.fork(effect);
     const endMs = this.currentMs + limitMs;
-    this.runTasks();
     while (fiber.unsafePoll() === null && this.currentMs < endMs) {
-      this.advance(Math.max(0, (this.sleepers[0]?.wakeAtMs ?? endMs) - this.currentMs));
+      this.advance(Math.max(0, (this.times.peek() ?? endMs) - this.currentMs));
     }
     const exit = fiber.unsafePoll();
     if (exit === null) throw new Error(`the effect has not ended within ${limitMs} ms`);
@@ -77,32 +85,51 @@
     return exit.value;
   }
 
-  private sleep(durationMs: number): Effect.Effect<void> {
-    return Effect.async<void>(resume => {
-      const sleeper: Sleeper = {
-        wakeAtMs: this.currentMs + durationMs,
-        order: (this.order += 1),
-        wake: () => resume(Effect.void),
-      };
-      const index = this.sleepers.findIndex(
-        other =>
-          other.wakeAtMs > sleeper.wakeAtMs ||
-          (other.wakeAtMs === sleeper.wakeAtMs && other.order > sleeper.order),
-      );
-      this.sleepers.splice(index < 0 ? this.sleepers.length : index, 0, sleeper);
-      return Effect.sync(() => {
-        const at = this.sleepers.indexOf(sleeper);
-        if (at >= 0) this.sleepers.splice(at, 1);
-      });
-    });
+  /** Lets time pass. */
+  advance(durationMs: number): void {
+    const endMs = this.currentMs + durationMs;
+    this.runTasks();
+    for (;;) {
+      const nextMs = this.times.peek();
+      if (nextMs === undefined || nextMs > endMs) break;
+      this.times.pop();
+      this.currentMs = nextMs;
+      const due = this.wakeups.get(nextMs) ?? [];
+      this.wakeups.delete(nextMs);
+      for (const wakeup of due) {
+        if (!wakeup.cancelled) wakeup.run();
+      }
+      this.runTasks();
+    }
+    this.currentMs = endMs;
   }
 
-  private runTasks(): void {
-    for (;;) {
+  /** Lets time pass until the condition holds; returns the milliseconds that it took, or undefined. */
+  advanceUntil(condition: () => boolean, limitMs: number, stepMs = 50): number | undefined {
+    for (let passedMs = 0; passedMs <= limitMs; passedMs += stepMs) {
+      if (condition()) return passedMs;
+      this.advance(stepMs);
+    }
+    return undefined;
+  }
+
+  /** Runs what fibers have scheduled for now. */
+  runTasks(): void {
+    while (this.tasks.length > 0) {
       const tasks = this.tasks;
-      if (tasks.length === 0) return;
       this.tasks = [];
       for (const task of tasks) task();
     }
   }
+
+  private schedule(durationMs: number, wakeup: Wakeup): void {
+    const atMs = this.currentMs + Math.max(0, Math.ceil(durationMs));
+    const sameTime = this.wakeups.get(atMs);
+    if (sameTime !== undefined) {
+      sameTime.push(wakeup);
+      return;
+    }
+    this.wakeups.set(atMs, [wakeup]);
+    this.times.push(atMs);
+  }
 }
--- a/scripts/measure_claim_capacity.mjs
+++ b/scripts/measure_claim_capacity.mjs
@@ -102,7 +102,7 @@
   let owner = 'a';
   const former = startAuthority(time, countingStore(store, bytes), 'a', () => owner);
   for (let index = 0; index < claims; index += 1) {
-    time.start(operation(former, time, index));
+    time.fork(operation(former, time, index));
     time.advance(1_000 / rate);
   }
   time.advance(1_000);
--- a/scripts/measure_claims.mjs
+++ b/scripts/measure_claims.mjs
@@ -71,7 +71,7 @@
   while (time.nowMs() < endMs) {
     time.advance((-Math.log(1 - state.random.next()) * 1_000) / operationsPerS);
     state.index += 1;
-    time.start(operation(authority, time, state.index, state.latenciesMs));
+    time.fork(operation(authority, time, state.index, state.latenciesMs));
   }
 }
 
