Spell the platform's names of the soak in the stand-ins

The soak wrote fields, kinds and headers of the platform's wire itself; they stand beside the other wire objects of the stand-ins now.

--- a/packages/soak/src/gateway_process.ts
+++ b/packages/soak/src/gateway_process.ts
@@ -3,6 +3,7 @@
 import {spawn} from 'node:child_process';
 import {closeSync, openSync, readFileSync} from 'node:fs';
 import {join} from 'node:path';
+import {gatewayPages} from '@cuminsill/standins';
 import type {FaultProxy} from './fault_proxy';
 import type {HistoryRecorder} from './soak_history';
 
@@ -24,6 +25,7 @@
 
 /** The built program, also when the soak itself runs from its sources in a test. */
 const steppedProgram = join(__dirname, '../dist/bin/stepped_gateway.js');
+const readyTimeoutMs = 1_000;
 const residentPattern = /^VmRSS:\s+(\d+) kB$/m;
 
 /** A gateway that can be started again after each end. */
@@ -93,6 +95,17 @@
     this.child?.kill(name);
   }
 
+  /** Whether the gateway answers that it is ready. */
+  async isReady(): Promise<boolean> {
+    const {host, readinessPort} = this.place;
+    const url = `http://${host}:${readinessPort}${gatewayPages.ready}`;
+    const answer = await fetch(url, {signal: AbortSignal.timeout(readyTimeoutMs)}).catch(
+      () => undefined,
+    );
+    await answer?.arrayBuffer().catch(() => undefined);
+    return answer?.status === 200;
+  }
+
   /** Notes how much memory the process uses now. */
   noteMemory(): void {
     const {child} = this;
--- a/packages/soak/src/play_fault.ts
+++ b/packages/soak/src/play_fault.ts
@@ -153,7 +153,7 @@
 async function reloadGateway(world: SoakWorld, fault: PlannedFault): Promise<void> {
   const gateway = pickGateway(world, fault);
   // Before its handler is installed, the signal ends a process by default.
-  if (!(await isReady(gateway))) return;
+  if (!(await gateway.isReady())) return;
   const end = world.disrupt(gateway.name, fault.kind, true);
   for (let sent = 0; sent < reloadsInSeries; sent += 1) {
     gateway.signal('SIGHUP');
@@ -164,21 +164,13 @@
 
 async function stepClock(world: SoakWorld, fault: PlannedFault): Promise<void> {
   const gateway = pickGateway(world, fault);
-  if (!(await isReady(gateway))) return;
+  if (!(await gateway.isReady())) return;
   const end = world.disrupt(gateway.name, fault.kind);
   gateway.signal('SIGUSR2');
   await sleep(fault.forMs);
   end();
 }
 
-/** Whether the gateway answers that it is ready. */
-export async function isReady({place}: GatewayProcess): Promise<boolean> {
-  const url = `http://${place.host}:${place.readinessPort}/cuminsill/ready`;
-  const answer = await fetch(url, {signal: AbortSignal.timeout(1_000)}).catch(() => undefined);
-  await answer?.arrayBuffer().catch(() => undefined);
-  return answer?.status === 200;
-}
-
 async function disturbStore(
   world: SoakWorld,
   {kind, forMs}: PlannedFault,
@@ -199,15 +191,25 @@
   return Promise.resolve();
 }
 
-async function crashTarget(world: SoakWorld, fault: PlannedFault): Promise<void> {
+/** Takes a target for a disruption that ends it; undefined when none may go. */
+function takeTarget(
+  world: SoakWorld,
+  fault: PlannedFault,
+  planned: boolean,
+): {readonly target: SoakTarget; readonly end: () => void} | undefined {
   const target = pickTarget(world, fault);
-  if (target === undefined) return;
-  const {fleet} = world;
+  if (target === undefined) return undefined;
   target.isLeaving = true;
-  const end = world.disrupt(target.id, fault.kind);
-  fleet.crash(target);
+  return {target, end: world.disrupt(target.id, fault.kind, planned)};
+}
+
+async function crashTarget(world: SoakWorld, fault: PlannedFault): Promise<void> {
+  const taken = takeTarget(world, fault, false);
+  if (taken === undefined) return;
+  const {target, end} = taken;
+  world.fleet.crash(target);
   await sleep(fault.forMs);
-  await fleet.run(target, coldMs);
+  await world.fleet.run(target, coldMs);
   target.isLeaving = false;
   end();
 }
@@ -217,11 +219,10 @@
   fault: PlannedFault,
   how: 'announced' | 'unannounced',
 ): Promise<void> {
-  const target = pickTarget(world, fault);
-  if (target === undefined) return;
+  const taken = takeTarget(world, fault, true);
+  if (taken === undefined) return;
+  const {target, end} = taken;
   const {fleet} = world;
-  target.isLeaving = true;
-  const end = world.disrupt(target.id, fault.kind, true);
   if (how === 'announced') fleet.drain(target);
   else fleet.removeEntry(target);
   await sleep(serveWhileLeavingMs);
@@ -233,27 +234,22 @@
 
 /** A target crashes for good, and a target of another service gets its address. */
 async function reuseAddress(world: SoakWorld, fault: PlannedFault): Promise<void> {
-  const target = pickTarget(world, fault);
-  if (target === undefined) return;
+  const taken = takeTarget(world, fault, false);
+  if (taken === undefined) return;
+  const {target, end} = taken;
   const {fleet} = world;
-  target.isLeaving = true;
-  const end = world.disrupt(target.id, fault.kind);
   fleet.crash(target);
   await sleep(entryLapseMs);
   fleet.removeEntry(target);
   await sleep(addressReuseMs);
   fleet.forget(target);
-  const others = Object.keys(servicesOf(world)).filter(service => service !== target.service);
+  const others = fleet.services().filter(service => service !== target.service);
   await fleet.addAt(target.slot, pickFrom(others, fault.strength) ?? target.service, coldMs);
   end();
 }
 
-function servicesOf({fleet}: SoakWorld): Readonly<Record<string, true>> {
-  return Object.fromEntries(fleet.targets.map(({service}) => [service, true as const]));
-}
-
 async function joinTarget(world: SoakWorld, {pick}: PlannedFault): Promise<void> {
-  const service = pickFrom(Object.keys(servicesOf(world)), pick) ?? 'pages';
+  const service = pickFrom(world.fleet.services(), pick) ?? 'pages';
   const failureDomain = world.domain(world.fleet.targets.length);
   await world.fleet.add(service, failureDomain, coldMs);
 }
--- a/packages/soak/src/run_soak.ts
+++ b/packages/soak/src/run_soak.ts
@@ -7,7 +7,7 @@
 import type {ProfileName} from './fault_plan';
 import {planFaults, profileOf} from './fault_plan';
 import {soundLink} from './fault_proxy';
-import {isReady, playFault} from './play_fault';
+import {playFault} from './play_fault';
 import type {PromiseBounds, Violation} from './promise_checks';
 import {checkPromises} from './promise_checks';
 import {SoakCaller} from './soak_caller';
@@ -122,7 +122,7 @@
 async function untilReady(world: SoakWorld): Promise<void> {
   const untilMs = world.nowMs() + recoveryMs;
   for (const gateway of world.gateways) {
-    while (!(await isReady(gateway))) {
+    while (!(await gateway.isReady())) {
       if (world.nowMs() > untilMs) {
         world.recorder.notReady.push(gateway.name);
         break;
--- a/packages/soak/src/soak_caller.ts
+++ b/packages/soak/src/soak_caller.ts
@@ -4,7 +4,7 @@
  */
 import * as http from 'node:http';
 import {setTimeout as sleep} from 'node:timers/promises';
-import {callerHeaders, gatewayPages} from '@cuminsill/standins';
+import {callerHeaders, gatewayPages, readAnswerHead} from '@cuminsill/standins';
 import type {RandomSource} from '@cuminsill/utils';
 import {randomBelow} from '@cuminsill/utils';
 import type {GatewayProcess} from './gateway_process';
@@ -172,17 +172,14 @@
     return {kind: 'cut', reason: (error as Error).message};
   }
   const {headers, statusCode = 0} = response;
+  const {requestId, signature} = readAnswerHead(headers);
   const retryAfter = headers['retry-after'];
   return {
     kind: 'answered',
     status: statusCode,
-    answeredId: textOf(headers['request-id']) ?? '',
-    signature: textOf(headers['response-stamp']),
+    answeredId: requestId,
+    signature,
     body: Buffer.concat(chunks).toString('utf8'),
     retryAfterS: retryAfter === undefined ? undefined : Number(retryAfter),
   };
 }
-
-function textOf(value: string | readonly string[] | undefined): string | undefined {
-  return typeof value === 'string' ? value : value?.[0];
-}
--- a/packages/soak/src/soak_world.ts
+++ b/packages/soak/src/soak_world.ts
@@ -7,7 +7,10 @@
   ownLoopbackAddress,
   settingsText,
   wireConfiguration,
+  wireConfigurationName,
+  wireKinds,
   wireRoute,
+  wireService,
 } from '@cuminsill/standins';
 import {FaultProxy} from './fault_proxy';
 import {GatewayProcess} from './gateway_process';
@@ -41,9 +44,8 @@
 
 const stopGraceS = 3;
 const portsPerGateway = 5;
-const configurationKind = 'config';
-const configurationName = 'main';
-const evacuationKind = 'evacuations';
+const coldStartS = 2;
+const coldRequestsPerS = 8;
 
 /** What the next configuration says beyond the fixed routes. */
 export interface RouteChoices {
@@ -118,18 +120,15 @@
     const paths = routes.map(([name, kind, service]) =>
       wireRoute(name, `/${name}/`, kind, service),
     );
-    const services = Object.keys(targetCounts).map(name => ({
-      name,
-      healthPath: '/health',
-      coldStartS: 2,
-      coldPerS: 8,
-    }));
+    const services = Object.keys(targetCounts).map(name =>
+      wireService(name, coldStartS, coldRequestsPerS),
+    );
     const spec = wireConfiguration(this.version, {services, hosts: [{host: 'one.example', paths}]});
     const {table} = this.store;
-    if (table.get(configurationKind, configurationName) === undefined) {
-      table.create(configurationKind, configurationName, {spec});
+    if (table.get(wireKinds.configuration, wireConfigurationName) === undefined) {
+      table.create(wireKinds.configuration, wireConfigurationName, {spec});
     } else {
-      table.replace(configurationKind, configurationName, {spec});
+      table.replace(wireKinds.configuration, wireConfigurationName, {spec});
     }
     this.recorder.configurations.push({
       version: this.version,
@@ -141,8 +140,8 @@
   /** Asks that nothing be sent to a failure domain, or takes that back. */
   evacuate(failureDomain: string, evacuated: boolean): void {
     const {table} = this.store;
-    if (evacuated) table.create(evacuationKind, failureDomain, {spec: {}});
-    else table.remove(evacuationKind, failureDomain);
+    if (evacuated) table.create(wireKinds.evacuations, failureDomain, {spec: {}});
+    else table.remove(wireKinds.evacuations, failureDomain);
   }
 
   /** Notes a disruption that lasts until the returned function is called. */
@@ -170,7 +169,7 @@
     const region = regions[failureDomain] ?? '';
     const place = {name, region, failureDomain, regions, stopGraceS};
     const settingsFile = join(this.options.folder, `${name}.json`);
-    writeFileSync(settingsFile, settingsText(this.options.template, ports, host, place));
+    writeFileSync(settingsFile, settingsText(this.options.template, host, ports, place));
     return new GatewayProcess(
       {
         name,
--- a/packages/soak/src/target_fleet.ts
+++ b/packages/soak/src/target_fleet.ts
@@ -1,6 +1,6 @@
 /** The targets of a soak: stand-ins behind a link each, with their entries in the store. */
 import type {AnswerMode, ObjectTable} from '@cuminsill/standins';
-import {EndpointServer, wireEndpoint} from '@cuminsill/standins';
+import {EndpointServer, wireEndpoint, wireKinds, wireStart} from '@cuminsill/standins';
 import {FaultProxy} from './fault_proxy';
 import {bodyOf} from './promise_checks';
 import type {HistoryRecorder, TargetEvent} from './soak_history';
@@ -29,7 +29,6 @@
 const workMs = 12;
 /** How long a target stays cold that starts while requests arrive, in milliseconds. */
 export const coldMs = 2_000;
-const targetKind = 'servers';
 
 /** All targets. */
 export class TargetFleet {
@@ -42,6 +41,11 @@
     private readonly nowMs: () => number,
   ) {}
 
+  /** Services that have a target. */
+  services(): readonly string[] {
+    return [...new Set(this.targets.map(({service}) => service))];
+  }
+
   /** Adds a target at an address of its own. */
   async add(service: string, failureDomain: string, forColdMs: number): Promise<SoakTarget> {
     const link = new FaultProxy({host: '127.0.0.1', port: 0});
@@ -72,7 +76,7 @@
     server.coldMs = forColdMs;
     target.slot.link.upstream = {host: '127.0.0.1', port: await server.start()};
     target.server = server;
-    this.writeEntry(target, {coldRemainingMs: forColdMs, born: Math.floor(Date.now())});
+    this.writeEntry(target, wireStart(forColdMs, Date.now()));
   }
 
   /** Ends a target at once. */
@@ -89,7 +93,7 @@
 
   /** Removes the entry of a target. */
   removeEntry(target: SoakTarget): void {
-    this.table.remove(targetKind, target.id);
+    this.table.remove(wireKinds.targets, target.id);
     this.noteLeaving(target);
   }
 
@@ -113,11 +117,11 @@
 
   private writeEntry({id, service, slot}: SoakTarget, changes: object): void {
     const {linkPort, failureDomain: zone} = slot;
-    const known = this.table.get(targetKind, id)?.spec as object | undefined;
+    const known = this.table.get(wireKinds.targets, id)?.spec as object | undefined;
     const fresh = wireEndpoint(linkPort, {service, zone, slots: requestSlots});
     const spec = {...fresh, ...known, ...changes};
-    if (known === undefined) this.table.create(targetKind, id, {spec});
-    else this.table.replace(targetKind, id, {spec});
+    if (known === undefined) this.table.create(wireKinds.targets, id, {spec});
+    else this.table.replace(wireKinds.targets, id, {spec});
   }
 
   private makeServer({id, service, script}: SoakTarget): EndpointServer {
--- a/packages/standins/src/users_platform/wire_objects.ts
+++ b/packages/standins/src/users_platform/wire_objects.ts
@@ -1,11 +1,22 @@
 /** Objects, settings and callers' headers as the platform spells them, for tests, the demo and the soak. */
+import type {IncomingHttpHeaders} from 'node:http';
 import {renderTemplate} from './settings_template';
 
+/** Kinds of objects in the store. */
+export const wireKinds = {
+  configuration: 'config',
+  targets: 'servers',
+  evacuations: 'evacuations',
+} as const;
+
+/** Name of the object that holds the configuration. */
+export const wireConfigurationName = 'main';
+
 /** A configuration with one idempotent and one non-idempotent route. */
 export function wireConfiguration(version: number, changes: object = {}): object {
   return {
     version,
-    services: [{name: 'pages', healthPath: '/health', coldStartS: 3, coldPerS: 7.4}],
+    services: [wireService('pages', 3, 7.4)],
     limits: {
       maxHeaderBytes: 16_384,
       maxBodyBytes: 1_000_000,
@@ -26,6 +37,11 @@
   };
 }
 
+/** What the configuration says of a service. */
+export function wireService(name: string, coldStartS: number, coldRequestsPerS: number): object {
+  return {name, healthPath: '/health', coldStartS, coldPerS: coldRequestsPerS};
+}
+
 /** A route, to the service `pages` unless another one is named. */
 export function wireRoute(
   name: string,
@@ -63,6 +79,11 @@
   };
 }
 
+/** What changes in the entry of an endpoint whose process starts. */
+export function wireStart(forColdMs: number, startedAtMs: number): object {
+  return {coldRemainingMs: forColdMs, born: Math.floor(startedAtMs)};
+}
+
 /** Ports of a gateway and of the store that it calls. */
 export interface SettingsPorts {
   readonly store: number;
@@ -128,8 +149,8 @@
 /** The settings file of a gateway on the loopback address, from the project's template. */
 export function settingsText(
   template: string,
-  ports: SettingsPorts,
   host: string,
+  ports: SettingsPorts,
   place?: SettingsPlace,
 ): string {
   const text = renderTemplate(template, settingsFields(host, ports, place));
@@ -151,6 +172,23 @@
   };
 }
 
+/** What a caller reads from the head of an answer. */
+export interface CallerAnswerHead {
+  /** Empty when the answer has none. */
+  readonly requestId: string;
+  /** Signature of an endpoint; undefined for an answer of the gateway's own. */
+  readonly signature: string | undefined;
+}
+
+/** Reads the head of an answer as a caller does. */
+export function readAnswerHead(headers: IncomingHttpHeaders): CallerAnswerHead {
+  const textOf = (name: string) => {
+    const value = headers[name];
+    return typeof value === 'string' ? value : value?.[0];
+  };
+  return {requestId: textOf('request-id') ?? '', signature: textOf('response-stamp')};
+}
+
 /** Pages of a gateway that callers and the platform ask. */
 export const gatewayPages = {
   ready: '/cuminsill/ready',
