Log and count the evidence of requests that crash their targets

A suspicion of the guard against poison requests left no trace: not when it began, was dropped, was cleared by an answer, reached the limit or came from another gateway.

Each of these is a 'poison' log line and a counter now; a request line names its fingerprint when an attempt was lost or the request is quarantined, and a lost attempt says whether its connection had been used before. A counter shows the suspicions that heartbeats have no room for, the status page lists all suspicions, and 'gateway explain' includes the evidence against the request. No decision changes.

Ruled out: logging every fingerprint, which lengthens each line for a field that only lost requests need.

--- a/packages/gateway/__tests__/explain_request.test.ts
+++ b/packages/gateway/__tests__/explain_request.test.ts
@@ -39,7 +39,14 @@
   expect(text).not.toContain('i-9');
 });
 
-const refused = {...lost, outcome: 'no-usable-target', status: 503, tries: [], retryAfterMs: 250};
+const refused = {
+  ...lost,
+  fingerprint: 'f',
+  outcome: 'no-usable-target',
+  status: 503,
+  tries: [],
+  retryAfterMs: 250,
+};
 const surroundings: ReadonlyArray<readonly [string, string, string]> = [
   [
     'an evacuation',
@@ -61,6 +68,14 @@
     line('target', 95, {event: 'removed', targetId: 'i-5', service: 'orders'}),
     'target i-5: removed',
   ],
+  [
+    'evidence against the same request',
+    [
+      line('poison', 99, {event: 'suspected', fingerprint: 'f', targetId: 'i-5'}),
+      line('poison', 99, {event: 'suspected', fingerprint: 'other', targetId: 'i-6'}),
+    ].join('\n'),
+    'a target went down while it ran this request, target i-5',
+  ],
   ['a stop', line('stop', 101, {phase: 'leaving'}), 'the gateway stops, phase leaving'],
 ];
 
--- a/packages/gateway/src/attempt_record.ts
+++ b/packages/gateway/src/attempt_record.ts
@@ -12,6 +12,8 @@
   readonly end: ExchangeEnd['kind'] | 'cancelled';
   readonly elapsedMs: number;
   readonly detail?: string;
+  /** True when the connection had carried an earlier request; only for lost connections. */
+  readonly reusedConnection?: boolean;
 }
 
 /** Attempts of one request. */
@@ -50,7 +52,9 @@
   recordEnd(targetId: string, end: ExchangeEnd, elapsedMs: number): void {
     this.inFlightCount -= 1;
     const detail = 'detail' in end ? {detail: end.detail} : {};
-    this.attempts.push({targetId, end: end.kind, elapsedMs: Math.round(elapsedMs), ...detail});
+    const connection = end.kind === 'lost' ? {reusedConnection: end.reusedConnection} : {};
+    const summary = {targetId, end: end.kind, elapsedMs: Math.round(elapsedMs)};
+    this.attempts.push({...summary, ...detail, ...connection});
     if (end.kind === 'unsent') {
       this.unsentCount += 1;
       return;
--- a/packages/gateway/src/decision_log.ts
+++ b/packages/gateway/src/decision_log.ts
@@ -40,6 +40,8 @@
   readonly usableTargets: number;
   readonly listedTargets: number;
   readonly storeAgeMs: number | undefined;
+  /** Logged when an attempt was lost or the request is quarantined, to find the related `poison` lines. */
+  readonly fingerprint?: string;
   readonly tries: readonly AttemptSummary[];
 }
 
@@ -53,6 +55,7 @@
   | 'evacuation'
   | 'store'
   | 'peer'
+  | 'poison'
   | 'defect';
 
 /** Destination of log lines. */
--- a/packages/gateway/src/explain_request.ts
+++ b/packages/gateway/src/explain_request.ts
@@ -6,6 +6,7 @@
 import {asObject, listField, numberField, parseJson, stringField} from '@cuminsill/utils';
 import type {GatewayReason} from './final_answer';
 import {gatewayReasons} from './final_answer';
+import type {PoisonEvent} from './poison_tracker';
 
 /** A related log line. */
 export interface RelatedEvent {
@@ -53,6 +54,7 @@
   configuration: line => `configuration ${textOf(line, 'version')}: ${textOf(line, 'event')}`,
   evacuation: line =>
     `evacuation of ${textOf(line, 'failureDomain')} ${line['evacuated'] === true ? 'begins' : 'ends'}`,
+  poison: poisonText,
   start: () => 'the gateway starts',
   stop: line => `the gateway stops, phase ${textOf(line, 'phase')}`,
   reload: line => `settings read again: ${textOf(line, 'outcome')}`,
@@ -112,6 +114,7 @@
   targetIds: ReadonlySet<string>,
 ): boolean {
   if (surroundingLineTexts[textOf(line, 'line')] === undefined) return false;
+  if (line['line'] === 'poison') return line['fingerprint'] === request['fingerprint'];
   if (line['line'] !== 'target') return true;
   if (targetIds.size > 0) return targetIds.has(textOf(line, 'targetId'));
   return line['service'] === undefined || line['service'] === request['service'];
@@ -178,6 +181,28 @@
     : `store answers for ${kind}`;
 }
 
+/** Text for each event of a `poison` line; the events are those of `PoisonEvent`. */
+const poisonEventTexts: Readonly<Record<PoisonEvent, string>> = {
+  suspected: 'a target went down while it ran this request',
+  'loss-ignored': 'a lost connection does not count against this request',
+  'loss-discarded': 'a lost connection no longer counts against this request',
+  cleared: 'an answer cleared this request',
+  quarantined: 'this request is refused from now on',
+};
+
+function poisonText(line: JsonObject): string {
+  const event = textOf(line, 'event');
+  const text = event in poisonEventTexts ? poisonEventTexts[event as PoisonEvent] : event;
+  const reason = stringField(line, 'reason');
+  const lostTargetIds = line['lostTargetIds'];
+  const details = [
+    ...(line['targetId'] === undefined ? [] : [`target ${textOf(line, 'targetId')}`]),
+    ...(reason === undefined ? [] : [reason]),
+    ...(lostTargetIds === undefined ? [] : [`lost so far: ${JSON.stringify(lostTargetIds)}`]),
+  ];
+  return [text, ...details].join(', ');
+}
+
 function targetChangeText(line: JsonObject): string {
   const reason = stringField(line, 'reason');
   const change = stringField(line, 'state') ?? textOf(line, 'event');
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -29,6 +29,7 @@
 import type {PeerMessage} from './peer_message';
 import type {PeerState} from './peer_table';
 import {PeerTable} from './peer_table';
+import {PoisonTracker} from './poison_tracker';
 import type {RetryLimit} from './retry_budget';
 import {RetryBudget} from './retry_budget';
 import {ServiceSelector} from './service_selector';
@@ -164,6 +165,7 @@
     const {settings, time} = this;
     const {name, regions, failureDomain} = settings.value;
     const log = new DecisionLog(name, time, this.logOutput);
+    const metrics = new GatewayMetrics();
     const peers = new PeerTable(this.ownRecord, time);
     return {
       settings,
@@ -189,9 +191,9 @@
         () => peers.listedGatewayCount(),
       ),
       connections: new TargetConnections(),
-      poison: new PoisonGuard(time),
+      poison: new PoisonTracker(new PoisonGuard(time), log, metrics),
       log,
-      metrics: new GatewayMetrics(),
+      metrics,
       storeAgeMs: () => this.storeAgeMs(),
     };
   }
@@ -220,8 +222,9 @@
       peerAddresses: () => parts.peers.otherGateways().map(({peerAddress}) => peerAddress),
       onHeartbeat: message => {
         parts.peers.recordHeartbeat(message);
-        parts.poison.mergeSuspicions(message.suspicions);
+        parts.poison.mergeSuspicions(message.suspicions, message.name);
       },
+      onSuspicionsLeftOut: count => parts.metrics.addSuspicionsLeftOut(count),
       onUnreadable: from => parts.log.event('peer', {event: 'unreadable heartbeat', from}),
     });
   }
--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -36,6 +36,17 @@
     labelNames: ['kind', 'result'],
     registers: [this.registry],
   });
+  private readonly poisonEvents = new Counter({
+    name: 'cuminsill_poison_events_total',
+    help: 'Evidence of requests that crash targets, by what became of it',
+    labelNames: ['event'],
+    registers: [this.registry],
+  });
+  private readonly suspicionsLeftOut = new Counter({
+    name: 'cuminsill_suspicions_left_out_total',
+    help: 'Suspicions that a heartbeat had no room for, summed over heartbeats',
+    registers: [this.registry],
+  });
   private readonly inFlight = new Gauge({
     name: 'cuminsill_requests_in_flight',
     help: 'Requests without a final answer',
@@ -66,6 +77,14 @@
     this.storeCalls.inc({kind, result});
   }
 
+  poisonEvent(event: string): void {
+    this.poisonEvents.inc({event});
+  }
+
+  addSuspicionsLeftOut(count: number): void {
+    this.suspicionsLeftOut.inc(count);
+  }
+
   /** Replaces the target counts of the previous call. */
   setTargetCounts(counts: readonly TargetCount[]): void {
     this.targets.reset();
--- a/packages/gateway/src/gateway_parts.ts
+++ b/packages/gateway/src/gateway_parts.ts
@@ -1,5 +1,4 @@
 /** The parts of a gateway that handle requests and are shared between its modules. */
-import type {PoisonGuard} from '@cuminsill/steering';
 import type {TimeSource} from '@cuminsill/utils';
 import type {ConfigurationView} from './configuration_view';
 import type {DecisionLog} from './decision_log';
@@ -8,6 +7,7 @@
 import type {CurrentSettings} from './gateway_settings';
 import type {RoundTripTimes} from './round_trip_times';
 import type {PeerTable} from './peer_table';
+import type {PoisonTracker} from './poison_tracker';
 import type {RequestWire} from './request_wire';
 import type {RetryBudget} from './retry_budget';
 import type {ServiceSelector} from './service_selector';
@@ -29,7 +29,7 @@
   readonly roundTripTimes: RoundTripTimes;
   readonly retryBudget: RetryBudget;
   readonly connections: TargetConnections;
-  readonly poison: PoisonGuard;
+  readonly poison: PoisonTracker;
   readonly log: DecisionLog;
   readonly metrics: GatewayMetrics;
   /** Time since the last answer of the store, in milliseconds; undefined before the first answer. */
--- a/packages/gateway/src/peer_exchange.ts
+++ b/packages/gateway/src/peer_exchange.ts
@@ -20,6 +20,8 @@
   peerAddresses(): readonly SocketAddress[];
   onHeartbeat(message: PeerMessage): void;
   onUnreadable(from: string): void;
+  /** Called with the number of suspicions that a heartbeat had no room for. */
+  onSuspicionsLeftOut(count: number): void;
 }
 
 /** Sends and receives heartbeats. */
@@ -48,6 +50,8 @@
   sendHeartbeat(): void {
     const {suspicions, ...rest} = this.handlers.nextHeartbeat();
     const message = {...rest, suspicions: suspicions.slice(0, maxSuspicionsPerHeartbeat)};
+    const leftOut = suspicions.length - message.suspicions.length;
+    if (leftOut > 0) this.handlers.onSuspicionsLeftOut(leftOut);
     const data = Buffer.from(JSON.stringify(message));
     for (const {host, port} of this.nextReceivers()) {
       // Send errors are ignored: an unreachable peer is detected by its missing heartbeats.
--- /dev/null
+++ b/packages/gateway/src/poison_tracker.ts
@@ -0,0 +1,89 @@
+/**
+ * Tracks requests that may crash the targets that run them. Logs and counts each piece of evidence and what becomes of
+ * it, so that the logs of the gateways show why a request is quarantined or still sent to targets.
+ */
+import type {PoisonGuard} from '@cuminsill/steering';
+import type {PoisonSuspicion} from '@cuminsill/types';
+import type {DecisionLog} from './decision_log';
+import type {GatewayMetrics} from './gateway_metrics';
+
+/** What happened to a piece of evidence; written to the log and counted. */
+export type PoisonEvent =
+  /** A target went down while it ran the request. */
+  | 'suspected'
+  /** A connection was lost, but the loss does not count as evidence. */
+  | 'loss-ignored'
+  /** The evidence was discarded, because the target accepts connections. */
+  | 'loss-discarded'
+  /** An answer removed the suspicion. */
+  | 'cleared'
+  /** Enough targets went down; the request is refused from now on. */
+  | 'quarantined';
+
+/** Evidence against requests, by fingerprint. */
+export class PoisonTracker {
+  constructor(
+    private readonly guard: PoisonGuard,
+    private readonly log: DecisionLog,
+    private readonly metrics: GatewayMetrics,
+  ) {}
+
+  /** True if requests with this fingerprint must be refused. */
+  isQuarantined(fingerprint: string): boolean {
+    return this.guard.isQuarantined(fingerprint);
+  }
+
+  /** Records that a target answered the request. */
+  recordAnswered(fingerprint: string, targetId: string, status: number): void {
+    const removed = this.guard.recordAnswered(fingerprint);
+    if (removed === undefined) return;
+    this.report('cleared', {fingerprint, targetId, status, lostTargetIds: removed.targetIds});
+  }
+
+  /** Records that a target went down while it ran the request. */
+  recordLostTarget(fingerprint: string, targetId: string): void {
+    const wasQuarantined = this.isQuarantined(fingerprint);
+    const {targetIds: lostTargetIds} = this.guard.recordLostTarget(fingerprint, targetId);
+    const answeredBefore = this.guard.wasAnswered(fingerprint);
+    this.report('suspected', {fingerprint, targetId, lostTargetIds, answeredBefore});
+    if (!wasQuarantined) this.reportQuarantine(fingerprint, lostTargetIds, 'own evidence');
+  }
+
+  /** Records a lost connection that does not count as evidence. */
+  recordIgnoredLoss(fingerprint: string, targetId: string, reason: string): void {
+    this.report('loss-ignored', {fingerprint, targetId, reason});
+  }
+
+  /** Records that evidence was discarded, because the target accepts connections. */
+  recordDiscardedLoss(fingerprint: string, targetId: string): void {
+    this.report('loss-discarded', {fingerprint, targetId, reason: 'probe connected'});
+  }
+
+  /** Merges the suspicions of another gateway. */
+  mergeSuspicions(suspicions: readonly PoisonSuspicion[], gateway: string): void {
+    const before = suspicions.filter(({fingerprint}) => !this.isQuarantined(fingerprint));
+    this.guard.mergeSuspicions(suspicions);
+    for (const {fingerprint, targetIds} of before) {
+      this.reportQuarantine(fingerprint, targetIds, `evidence of ${gateway}`);
+    }
+  }
+
+  /** Suspicions that have not expired. */
+  suspicions(): readonly PoisonSuspicion[] {
+    return this.guard.suspicions();
+  }
+
+  private reportQuarantine(
+    fingerprint: string,
+    lostTargetIds: readonly string[],
+    reason: string,
+  ): void {
+    if (!this.isQuarantined(fingerprint)) return;
+    this.report('quarantined', {fingerprint, lostTargetIds, reason});
+  }
+
+  private report(event: PoisonEvent, fields: Readonly<Record<string, unknown>>): void {
+    this.metrics.poisonEvent(event);
+    this.log.event('poison', {event, ...fields});
+  }
+}
--- a/packages/gateway/src/record_exchange_end.ts
+++ b/packages/gateway/src/record_exchange_end.ts
@@ -64,7 +64,7 @@
   const {target} = placement;
   const nowMs = parts.time.monotonicMs();
   recordReports(end.answer, placement, nowMs);
-  parts.poison.recordAnswered(forwarded.fingerprint);
+  parts.poison.recordAnswered(forwarded.fingerprint, target.id, end.answer.status);
   if (end.answer.status >= 500) {
     target.health.onFailure(nowMs);
     return;
@@ -103,6 +103,7 @@
   target.health.markSuspect(nowMs);
   // A reused connection may have been closed before the request reached the target.
   if (!end.reusedConnection) target.addSuspectRequest(forwarded.fingerprint);
+  else parts.poison.recordIgnoredLoss(forwarded.fingerprint, target.id, 'kept connection');
 }
 
 function recordReports(answer: TargetAnswer, {target}: Placement, nowMs: number): void {
--- a/packages/gateway/src/serve_request.ts
+++ b/packages/gateway/src/serve_request.ts
@@ -47,6 +47,7 @@
 class RequestHandler {
   private route: RouteRule | undefined;
   private service: string | undefined;
+  private fingerprint: string | undefined;
   private result: ForwardingResult | undefined;
   private readonly head: CallerHead;
 
@@ -111,6 +112,7 @@
       if (this.service === undefined) return Effect.succeed(ownAnswer('no-usable-target'));
       const request = this.callerRequest(body);
       const fingerprint = fingerprintOf(request);
+      this.fingerprint = fingerprint;
       if (parts.poison.isQuarantined(fingerprint)) return Effect.succeed(ownAnswer('quarantined'));
       const deadlineMs = request.arrivedAtMs + timeoutOf(request, this.route);
       const forwarded = {
@@ -176,9 +178,17 @@
       usableTargets: targets.filter(isUsable).length,
       listedTargets: targets.length,
       storeAgeMs: parts.storeAgeMs(),
+      ...this.fingerprintField(answer),
       tries: result?.record.attempts ?? [],
     };
   }
+
+  private fingerprintField(answer: FinalAnswer | undefined): Pick<RequestDecision, 'fingerprint'> {
+    const {fingerprint, result} = this;
+    if (fingerprint === undefined) return {};
+    const wasLost = result?.record.attempts.some(({end}) => end === 'lost') === true;
+    return wasLost || outcomeOf(answer) === 'quarantined' ? {fingerprint} : {};
+  }
 }
 
 /** Timeout of the request, counted from its arrival, in milliseconds. */
--- a/packages/gateway/src/status_page.ts
+++ b/packages/gateway/src/status_page.ts
@@ -1,4 +1,5 @@
 /** The status page: the state that the gateway works with, its age, and why a target is not used. */
+import type {PoisonSuspicion} from '@cuminsill/types';
 import type {GatewayParts} from './gateway_parts';
 import type {FeedState} from './object_feed';
 import type {RouteRule} from './gateway_types';
@@ -15,6 +16,8 @@
   readonly routes: readonly RouteRule[];
   readonly targets: readonly TargetStatus[];
   readonly retries: readonly RetryStatus[];
+  /** Requests that may crash the targets that run them. */
+  readonly suspicions: readonly PoisonSuspicion[];
 }
 
 /** One target on the status page. */
@@ -51,6 +54,7 @@
     routes: routes?.configuration.routes ?? [],
     targets: [...parts.targets.all()].map(target => targetStatus(parts, target, nowMs)),
     retries: parts.retryBudget.status(),
+    suspicions: parts.poison.suspicions(),
   };
   return JSON.stringify(status, undefined, 2);
 }
--- a/packages/gateway/src/target_prober.ts
+++ b/packages/gateway/src/target_prober.ts
@@ -90,7 +90,9 @@
   }
 
   private onProbeConnected(target: Target): void {
-    target.takeSuspectRequests();
+    for (const fingerprint of target.takeSuspectRequests()) {
+      this.parts.poison.recordDiscardedLoss(fingerprint, target.id);
+    }
     if (!target.health.onProbeConnected()) return;
     const nowMs = this.parts.time.monotonicMs();
     const {configuration} = this.parts;
--- a/packages/steering/src/poison_guard.ts
+++ b/packages/steering/src/poison_guard.ts
@@ -43,15 +43,24 @@
     return suspicion.targetIds.length >= targetsUntilQuarantine;
   }
 
-  /** Records that a target answered the request; removes its suspicion and ignores new ones for ten minutes. */
-  recordAnswered(fingerprint: string): void {
+  /** True if a target answered the request in the last ten minutes, so that it is not refused. */
+  wasAnswered(fingerprint: string): boolean {
+    const answeredAtMs = this.answeredAtMsByFingerprint.get(fingerprint);
+    return answeredAtMs !== undefined && this.time.nowMs() - answeredAtMs < suspicionTtlMs;
+  }
+
+  /**
+   * Records that a target answered the request; removes its suspicion and ignores new ones for ten minutes. Returns the
+   * removed suspicion.
+   */
+  recordAnswered(fingerprint: string): PoisonSuspicion | undefined {
     // Deleting first moves the fingerprint to the end, so that the map is ordered by the last answer.
     this.answeredAtMsByFingerprint.delete(fingerprint);
     this.answeredAtMsByFingerprint.set(fingerprint, this.time.nowMs());
+    const removed = this.suspicionsByFingerprint.get(fingerprint);
     this.suspicionsByFingerprint.delete(fingerprint);
-    if (this.answeredAtMsByFingerprint.size <= maxAnsweredFingerprints) return;
-    const [oldest] = this.answeredAtMsByFingerprint.keys();
-    if (oldest !== undefined) this.answeredAtMsByFingerprint.delete(oldest);
+    this.evictOldestAnswer();
+    return removed;
   }
 
   /** Records that a target stopped answering while it ran the request. Returns the suspicion to share. */
@@ -83,11 +92,6 @@
     );
   }
 
-  private wasAnswered(fingerprint: string): boolean {
-    const answeredAtMs = this.answeredAtMsByFingerprint.get(fingerprint);
-    return answeredAtMs !== undefined && this.time.nowMs() - answeredAtMs < suspicionTtlMs;
-  }
-
   private mergeSuspicion(added: PoisonSuspicion): PoisonSuspicion {
     const {fingerprint} = added;
     const stored = this.suspicionsByFingerprint.get(fingerprint);
@@ -102,6 +106,12 @@
     return merged;
   }
 
+  private evictOldestAnswer(): void {
+    if (this.answeredAtMsByFingerprint.size <= maxAnsweredFingerprints) return;
+    const [oldest] = this.answeredAtMsByFingerprint.keys();
+    if (oldest !== undefined) this.answeredAtMsByFingerprint.delete(oldest);
+  }
+
   private evictOldest(): void {
     if (this.suspicionsByFingerprint.size <= maxFingerprints) return;
     this.removeExpired();
--- a/packages/steering/src/steering_types.ts
+++ b/packages/steering/src/steering_types.ts
@@ -125,8 +125,11 @@
 /** Detects poison requests, which are refused because they took targets down. */
 export interface PoisonDecisions {
   isQuarantined(fingerprint: string): boolean;
-  /** Records that a target answered the request, so the request does not take down every target that runs it. */
-  recordAnswered(fingerprint: string): void;
+  /**
+   * Records that a target answered the request, so the request does not take down every target that runs it. Returns
+   * the suspicion that this removed.
+   */
+  recordAnswered(fingerprint: string): PoisonSuspicion | undefined;
   /** Records that a target stopped answering while it ran the request. Returns the suspicion to share. */
   recordLostTarget(fingerprint: string, targetId: string): PoisonSuspicion;
   mergeSuspicions(suspicions: readonly PoisonSuspicion[]): void;
