--- a/packages/standins/src/users_platform/endpoint_server.ts
+++ b/packages/standins/src/users_platform/endpoint_server.ts
@@ -37,6 +37,8 @@
   /** Makes the body of an answer; by default all answers have the same body. */
   readonly bodyOf?: (requestId: string) => string;
   readonly observer?: EndpointObserver;
+  /** A request with this path crashes the endpoint when it starts to run. */
+  readonly crashPath?: string;
 }
 
 /** Receives the events of an endpoint. */
@@ -47,6 +49,8 @@
   onRun(request: ExecutedRequest): void;
   /** The endpoint starts to answer a request that ran, with this status. */
   onAnswered(requestId: string, status: number): void;
+  /** A request crashed the endpoint: it has closed all connections and no longer listens. */
+  onCrashed?(requestId: string): void;
 }
 
 /** A request that an endpoint ran. */
@@ -159,6 +163,11 @@
     };
     this.executedRequests.push(run);
     this.options.observer?.onRun(run);
+    if (run.path === this.options.crashPath) {
+      this.stop();
+      this.options.observer?.onCrashed?.(run.id);
+      return;
+    }
     const release = () => {
       clearTimeout(timer);
       answer.socket.off('close', onCallerLeft);
