Count a target that goes down on a kept connection against the request

Callers saw one request end target after target: on stand-ins, each of its 24 repeats ended one, although the third should have been the last.

Cause: a lost connection counted as evidence only if it was new, because a target may close a kept connection before the request reaches it. The probe that follows every loss decides this anyway: a target that closed an idle connection accepts the probe, and the evidence is dropped.

Change: each lost connection is remembered until the probe; the log event 'loss-ignored' has no use left.

--- a/packages/gateway/__tests__/poison_tracker.test.ts
+++ b/packages/gateway/__tests__/poison_tracker.test.ts
@@ -72,12 +72,6 @@
     events: ['suspected'],
     lastLine: {answeredBefore: true},
   },
-  {
-    name: 'a loss that does not count',
-    act: tracker => tracker.recordIgnoredLoss('f', 'i-1', 'kept connection'),
-    events: ['loss-ignored'],
-    lastLine: {targetId: 'i-1', reason: 'kept connection'},
-  },
   {
     name: 'a loss at a target that accepts connections',
     act: tracker => tracker.recordDiscardedLoss('f', 'i-1'),
--- a/packages/gateway/src/explain_request.ts
+++ b/packages/gateway/src/explain_request.ts
@@ -184,8 +184,7 @@
 /** Text for each event of a `poison` line; the events are those of `PoisonEvent`. */
 const poisonEventTexts: Readonly<Record<PoisonEvent, string>> = {
   suspected: 'a target went down while it ran this request',
-  'loss-ignored': 'a lost connection does not count against this request',
-  'loss-discarded': 'a lost connection no longer counts against this request',
+  'loss-discarded': 'a lost connection does not count against this request',
   cleared: 'an answer cleared this request',
   quarantined: 'this request is refused from now on',
 };
--- a/packages/gateway/src/poison_tracker.ts
+++ b/packages/gateway/src/poison_tracker.ts
@@ -11,8 +11,6 @@
 export type PoisonEvent =
   /** A target went down while it ran the request. */
   | 'suspected'
-  /** A connection was lost, but the loss does not count as evidence. */
-  | 'loss-ignored'
   /** The evidence was discarded, because the target accepts connections. */
   | 'loss-discarded'
   /** An answer removed the suspicion. */
@@ -49,11 +47,6 @@
     if (!wasQuarantined) this.reportQuarantine(fingerprint, lostTargetIds, 'own evidence');
   }
 
-  /** Records a lost connection that does not count as evidence. */
-  recordIgnoredLoss(fingerprint: string, targetId: string, reason: string): void {
-    this.report('loss-ignored', {fingerprint, targetId, reason});
-  }
-
   /** Records that evidence was discarded, because the target accepts connections. */
   recordDiscardedLoss(fingerprint: string, targetId: string): void {
     this.report('loss-discarded', {fingerprint, targetId, reason: 'probe connected'});
--- a/packages/gateway/src/record_exchange_end.ts
+++ b/packages/gateway/src/record_exchange_end.ts
@@ -94,16 +94,11 @@
   else target.health.onFailure(nowMs);
 }
 
-function recordLostConnection(
-  {parts, placement, forwarded}: ExchangeContext,
-  end: ExchangeEndOfKind<'lost'>,
-): void {
+function recordLostConnection({parts, placement, forwarded}: ExchangeContext): void {
   const {target} = placement;
-  const nowMs = parts.time.monotonicMs();
-  target.health.markSuspect(nowMs);
-  // A reused connection may have been closed before the request reached the target.
-  if (!end.reusedConnection) target.addSuspectRequest(forwarded.fingerprint);
-  else parts.poison.recordIgnoredLoss(forwarded.fingerprint, target.id, 'kept connection');
+  target.health.markSuspect(parts.time.monotonicMs());
+  // The probe that follows distinguishes a target that is down from one that closed an idle connection.
+  target.addSuspectRequest(forwarded.fingerprint);
 }
 
 function recordReports(answer: TargetAnswer, {target}: Placement, nowMs: number): void {
