Do not clear a suspected request when a target answers it with a server error

Cause: any complete answer removed the suspicion and ignored new ones for ten minutes. A target that fails part of its requests while it is healthy answers before it reaches what crashes the others, so its answer shows nothing.

Change: the guard takes the status of the answer and ignores server errors, for the gateway and the entry alike.

New in the guard's tests: answers with 500 and 504.

Ruled out: ignoring answers altogether, because the loss of a failure domain would quarantine frequent requests.

--- a/packages/entry/src/relay_and_release.ts
+++ b/packages/entry/src/relay_and_release.ts
@@ -62,9 +62,12 @@
   targetResponse: TargetResponse,
   end: RelayEnd,
 ): void {
-  if (end.kind === 'whole') deps.poisonGuard.recordAnswered(context.fingerprint);
+  const {response, assignment} = targetResponse;
+  if (end.kind === 'whole') {
+    deps.poisonGuard.recordAnswered(context.fingerprint, response.statusCode ?? 0);
+  }
   if (end.kind !== 'cut') return;
-  deps.poisonGuard.recordLostTarget(context.fingerprint, targetResponse.assignment.target.id);
+  deps.poisonGuard.recordLostTarget(context.fingerprint, assignment.target.id);
   deps.reportSoon();
 }
 
--- a/packages/gateway/src/poison_tracker.ts
+++ b/packages/gateway/src/poison_tracker.ts
@@ -33,7 +33,7 @@
 
   /** Records that a target answered the request. */
   recordAnswered(fingerprint: string, targetId: string, status: number): void {
-    const removed = this.guard.recordAnswered(fingerprint);
+    const removed = this.guard.recordAnswered(fingerprint, status);
     if (removed === undefined) return;
     this.report('cleared', {fingerprint, targetId, status, lostTargetIds: removed.targetIds});
   }
--- a/packages/steering/__tests__/poison_guard.test.ts
+++ b/packages/steering/__tests__/poison_guard.test.ts
@@ -98,6 +98,20 @@
     expect(guard.isQuarantined('other')).toBe(false);
   });
 
+  // Guards against a request that is sent on because one of its targets failed before it could crash.
+  test.each([
+    [200, false],
+    [404, false],
+    [500, true],
+    [504, true],
+  ])('after an answer with status %i, two lost targets quarantine: %s', (status, expected) => {
+    const guard = guardWith();
+    guard.recordLostTarget('f', 't1');
+    guard.recordAnswered('f', status);
+    guard.recordLostTarget('f', 't2');
+    expect(guard.isQuarantined('f')).toBe(expected);
+  });
+
   // Otherwise, two instances that each know of one lost target would both send the request again.
   test('adds up lost targets that different instances saw', () => {
     const guard = guardWith([guardWith().recordLostTarget('f', 't1')]);
--- a/packages/steering/src/poison_guard.ts
+++ b/packages/steering/src/poison_guard.ts
@@ -4,7 +4,7 @@
  * for ten minutes. Instances exchange suspicions; the merge is commutative, associative and idempotent as long as the
  * limit on their number is not reached.
  *
- * A request that was answered recently does not take down every target that runs it, so it is never refused. Without
+ * A request that was answered recently without a server error does not take down every target that runs it, so it is never refused. Without
  * this rule, the loss of a failure domain would quarantine the most frequent requests, because they are in flight
  * at several targets at that moment.
  */
@@ -27,6 +27,8 @@
 /** Two targets are enough to refuse a request; more are kept for operators, and the limit keeps messages small. */
 const maxTargetsPerSuspicion = 8;
 
+const minServerErrorStatus = 500;
+
 /** Suspicions and recently answered fingerprints of one instance. */
 export class PoisonGuard implements PoisonDecisions {
   private readonly suspicionsByFingerprint = new Map<string, PoisonSuspicion>();
@@ -51,9 +53,10 @@
 
   /**
    * Records that a target answered the request; removes its suspicion and ignores new ones for ten minutes. Returns the
-   * removed suspicion.
+   * removed suspicion. A server error changes nothing: the target may have failed before it got as far as other targets.
    */
-  recordAnswered(fingerprint: string): PoisonSuspicion | undefined {
+  recordAnswered(fingerprint: string, status: number): PoisonSuspicion | undefined {
+    if (status >= minServerErrorStatus) return undefined;
     // Deleting first moves the fingerprint to the end, so that the map is ordered by the last answer.
     this.answeredAtMsByFingerprint.delete(fingerprint);
     this.answeredAtMsByFingerprint.set(fingerprint, this.time.nowMs());
--- a/packages/steering/src/steering_types.ts
+++ b/packages/steering/src/steering_types.ts
@@ -126,10 +126,10 @@
 export interface PoisonDecisions {
   isQuarantined(fingerprint: string): boolean;
   /**
-   * Records that a target answered the request, so the request does not take down every target that runs it. Returns
-   * the suspicion that this removed.
+   * Records that a target answered the request. Unless the answer is a server error, the request does not take down every
+   * target that runs it. Returns the suspicion that this removed.
    */
-  recordAnswered(fingerprint: string): PoisonSuspicion | undefined;
+  recordAnswered(fingerprint: string, status: number): PoisonSuspicion | undefined;
   /** Records that a target stopped answering while it ran the request. Returns the suspicion to share. */
   recordLostTarget(fingerprint: string, targetId: string): PoisonSuspicion;
   mergeSuspicions(suspicions: readonly PoisonSuspicion[]): void;
