Count each start of a target that a request ends

Cause: evidence was a set of target ids, and a target may start again under the id that it had. The second crash of the same target added nothing, so the request never reached the two losses that quarantine it.

Change: the gateway's evidence names the process of the target, its id with its start. A request remembers the process that had it, because the record may be newer when the probe fails. Targets whose records state no start count by id as before.

Ruled out: counting losses by time, which would count one crash twice when two gateways see it.

--- a/packages/gateway/__tests__/poison_tracker.test.ts
+++ b/packages/gateway/__tests__/poison_tracker.test.ts
@@ -31,18 +31,18 @@
 const evidenceCases: readonly EvidenceCase[] = [
   {
     name: 'a lost target',
-    act: tracker => tracker.recordLostTarget('f', 'i-1'),
+    act: tracker => tracker.recordLostTarget('f', 'i-1@1'),
     events: ['suspected'],
-    lastLine: {targetId: 'i-1', lostTargetIds: ['i-1'], answeredBefore: false},
+    lastLine: {lostTargetIds: ['i-1@1'], answeredBefore: false},
   },
   {
     name: 'a second lost target, which quarantines the request',
     act: tracker => {
-      tracker.recordLostTarget('f', 'i-1');
-      tracker.recordLostTarget('f', 'i-2');
+      tracker.recordLostTarget('f', 'i-1@1');
+      tracker.recordLostTarget('f', 'i-2@1');
     },
     events: ['suspected', 'suspected', 'quarantined'],
-    lastLine: {lostTargetIds: ['i-1', 'i-2'], reason: 'own evidence'},
+    lastLine: {lostTargetIds: ['i-1@1', 'i-2@1'], reason: 'own evidence'},
   },
   {
     name: 'evidence of another gateway, twice',
@@ -57,26 +57,26 @@
   {
     name: 'an answer to a suspected request',
     act: tracker => {
-      tracker.recordLostTarget('f', 'i-1');
+      tracker.recordLostTarget('f', 'i-1@1');
       tracker.recordAnswered('f', 'i-2', 200);
     },
     events: ['suspected', 'cleared'],
-    lastLine: {targetId: 'i-2', status: 200, lostTargetIds: ['i-1']},
+    lastLine: {targetId: 'i-2', status: 200, lostTargetIds: ['i-1@1']},
   },
   {
     name: 'an answer with a server error, which clears nothing',
     act: tracker => {
-      tracker.recordLostTarget('f', 'i-1');
+      tracker.recordLostTarget('f', 'i-1@1');
       tracker.recordAnswered('f', 'i-2', 500);
     },
     events: ['suspected'],
-    lastLine: {targetId: 'i-1'},
+    lastLine: {lostTargetIds: ['i-1@1']},
   },
   {
     name: 'a target that is lost after an answer',
     act: tracker => {
       tracker.recordAnswered('f', 'i-2', 200);
-      tracker.recordLostTarget('f', 'i-1');
+      tracker.recordLostTarget('f', 'i-1@1');
     },
     events: ['suspected'],
     lastLine: {answeredBefore: true},
--- a/packages/gateway/src/poison_tracker.ts
+++ b/packages/gateway/src/poison_tracker.ts
@@ -38,12 +38,12 @@
     this.report('cleared', {fingerprint, targetId, status, lostTargetIds: removed.targetIds});
   }
 
-  /** Records that a target went down while it ran the request. */
-  recordLostTarget(fingerprint: string, targetId: string): void {
+  /** Records that a process of a target ended while it ran the request. */
+  recordLostTarget(fingerprint: string, incarnationId: string): void {
     const wasQuarantined = this.isQuarantined(fingerprint);
-    const {targetIds: lostTargetIds} = this.guard.recordLostTarget(fingerprint, targetId);
+    const {targetIds: lostTargetIds} = this.guard.recordLostTarget(fingerprint, incarnationId);
     const answeredBefore = this.guard.wasAnswered(fingerprint);
-    this.report('suspected', {fingerprint, targetId, lostTargetIds, answeredBefore});
+    this.report('suspected', {fingerprint, lostTargetIds, answeredBefore});
     if (!wasQuarantined) this.reportQuarantine(fingerprint, lostTargetIds, 'own evidence');
   }
 
--- a/packages/gateway/src/target.ts
+++ b/packages/gateway/src/target.ts
@@ -10,6 +10,13 @@
 /** Maximum number of requests kept as possible causes of a crash; a target runs only a few at once. */
 const maxSuspectRequests = 16;
 
+/** A request whose connection to a target was lost; if the target turns out to be down, the request may be the cause. */
+export interface SuspectRequest {
+  readonly fingerprint: string;
+  /** Process of the target that had the request. */
+  readonly incarnationId: string;
+}
+
 /** A target with its load, health and recent objects. */
 export class Target {
   readonly load = new TargetLoad();
@@ -23,7 +30,7 @@
   private isRemoved = false;
   private isUnlisted = false;
   private hasWrongAddress = false;
-  private suspectFingerprints: readonly string[] = [];
+  private suspects: readonly SuspectRequest[] = [];
 
   constructor(
     record: TargetRecord,
@@ -44,6 +51,11 @@
     return this.currentRecord.id;
   }
 
+  /** Identifies the target's process: a target may start again under the id that it had. */
+  get incarnationId(): string {
+    return `${this.id}@${this.currentRecord.startedAtMs}`;
+  }
+
   get service(): string {
     return this.currentRecord.service;
   }
@@ -106,17 +118,16 @@
     this.hasWrongAddress = true;
   }
 
-  /** Adds a request whose connection was lost: if the target turns out to be down, the request may be the cause. */
+  /** Adds a request whose connection was lost. */
   addSuspectRequest(fingerprint: string): void {
-    this.suspectFingerprints = [...this.suspectFingerprints, fingerprint].slice(
-      -maxSuspectRequests,
-    );
+    const suspect = {fingerprint, incarnationId: this.incarnationId};
+    this.suspects = [...this.suspects, suspect].slice(-maxSuspectRequests);
   }
 
   /** Returns and clears the suspect requests. */
-  takeSuspectRequests(): readonly string[] {
-    const taken = this.suspectFingerprints;
-    this.suspectFingerprints = [];
+  takeSuspectRequests(): readonly SuspectRequest[] {
+    const taken = this.suspects;
+    this.suspects = [];
     return taken;
   }
 
--- a/packages/gateway/src/target_prober.ts
+++ b/packages/gateway/src/target_prober.ts
@@ -83,14 +83,14 @@
     const {time, poison, log} = this.parts;
     const wasSuspect = target.health.reachability === 'suspect';
     target.health.onConnectFailure(time.monotonicMs());
-    for (const fingerprint of target.takeSuspectRequests()) {
-      poison.recordLostTarget(fingerprint, target.id);
+    for (const {fingerprint, incarnationId} of target.takeSuspectRequests()) {
+      poison.recordLostTarget(fingerprint, incarnationId);
     }
     if (wasSuspect) log.targetReachability(target.id, 'unreachable', detail);
   }
 
   private onProbeConnected(target: Target): void {
-    for (const fingerprint of target.takeSuspectRequests()) {
+    for (const {fingerprint} of target.takeSuspectRequests()) {
       this.parts.poison.recordDiscardedLoss(fingerprint, target.id);
     }
     if (!target.health.onProbeConnected()) return;
--- a/packages/types/src/reports.ts
+++ b/packages/types/src/reports.ts
@@ -20,6 +20,7 @@
 export interface PoisonSuspicion {
   /** Digest that identifies the request. */
   readonly fingerprint: string;
+  /** Targets that went down; each start of a target counts, where its starts are known. */
   readonly targetIds: readonly string[];
   /** When the suspicion expires, in milliseconds since the Unix epoch. */
   readonly untilMs: number;
