Spread new suspicions of crashing requests first, and all of them in turn

A gateway that had not seen a request crash targets could go on sending it, although others knew.

Cause: a heartbeat carried the first eight suspicions in the order of their fingerprints, the same ones each time. When a failure domain is lost, every request in flight there leaves a suspicion for ten minutes; with more than eight, whether one reached other gateways depended on its hash.

Change: suspicions that are new or have gained a target go first, those with the most lost targets before the others, and the rest follow in turn. A heartbeat spreads up to 32 of them in four datagrams, and all peers get the same ones before the next are chosen, also where a heartbeat goes to a part of the peers.

Ruled out: one larger datagram, which exceeds the size of a packet; a shorter life of suspicions with one lost target, because nothing says how soon such a request comes again.

--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -44,7 +44,7 @@
   });
   private readonly suspicionsLeftOut = new Counter({
     name: 'cuminsill_suspicions_left_out_total',
-    help: 'Suspicions that a heartbeat had no room for, summed over heartbeats',
+    help: 'New or changed suspicions that a heartbeat had no room for, summed over heartbeats',
     registers: [this.registry],
   });
   private readonly inFlight = new Gauge({
--- a/packages/gateway/src/peer_exchange.ts
+++ b/packages/gateway/src/peer_exchange.ts
@@ -3,16 +3,19 @@
  * crashing targets.
  */
 import * as dgram from 'node:dgram';
-import type {SocketAddress} from '@cuminsill/types';
+import type {PoisonSuspicion, SocketAddress} from '@cuminsill/types';
 import {decodePeerMessage} from './peer_message';
 import type {PeerMessage} from './peer_message';
+import {SuspicionRotation} from './suspicion_rotation';
 
 /** Interval of heartbeats. */
 export const heartbeatIntervalMs = 500;
 /** With more peers than this, each heartbeat goes to the next part of the list. */
 export const maxPeersPerHeartbeat = 32;
-/** Limits the size of a heartbeat to one datagram. */
-const maxSuspicionsPerHeartbeat = 8;
+/** Keeps a datagram below the usual size of a packet. */
+const maxSuspicionsPerDatagram = 8;
+/** Bounds the traffic of a heartbeat. More than one datagram is sent only while there are suspicions to spread. */
+const maxDatagramsPerHeartbeat = 4;
 
 /** Supplies heartbeats and receivers, and handles received heartbeats. */
 export interface PeerExchangeHandlers {
@@ -20,7 +23,7 @@
   peerAddresses(): readonly SocketAddress[];
   onHeartbeat(message: PeerMessage): void;
   onUnreadable(from: string): void;
-  /** Called with the number of suspicions that a heartbeat had no room for. */
+  /** Called with the number of new or changed suspicions that a heartbeat had no room for. */
   onSuspicionsLeftOut(count: number): void;
 }
 
@@ -29,6 +32,8 @@
   private readonly socket = dgram.createSocket('udp4');
   private timer: NodeJS.Timeout | undefined;
   private nextPeerIndex = 0;
+  private readonly rotation = new SuspicionRotation();
+  private carriedSuspicions: readonly PoisonSuspicion[] = [];
 
   constructor(
     private readonly address: SocketAddress,
@@ -48,29 +53,42 @@
 
   /** Sends a heartbeat at once, so that other gateways learn of a change without delay. */
   sendHeartbeat(): void {
-    const {suspicions, ...rest} = this.handlers.nextHeartbeat();
-    const message = {...rest, suspicions: suspicions.slice(0, maxSuspicionsPerHeartbeat)};
-    const leftOut = suspicions.length - message.suspicions.length;
-    if (leftOut > 0) this.handlers.onSuspicionsLeftOut(leftOut);
-    const data = Buffer.from(JSON.stringify(message));
-    for (const {host, port} of this.nextReceivers()) {
-      // Send errors are ignored: an unreachable peer is detected by its missing heartbeats.
-      this.socket.send(data, port, host, () => undefined);
+    const {suspicions, ...head} = this.handlers.nextHeartbeat();
+    const peers = this.handlers.peerAddresses();
+    // All peers get the same suspicions before the next ones are chosen.
+    const startsRound = this.nextPeerIndex === 0 || this.nextPeerIndex >= peers.length;
+    if (startsRound) this.chooseSuspicions(suspicions);
+    const datagrams = partsOf(this.carriedSuspicions, maxSuspicionsPerDatagram).map(part =>
+      Buffer.from(JSON.stringify({...head, suspicions: part})),
+    );
+    for (const receiver of this.nextReceivers(peers)) {
+      for (const data of datagrams) this.send(data, receiver);
     }
   }
 
+  private chooseSuspicions(suspicions: readonly PoisonSuspicion[]): void {
+    const unsentCount = this.rotation.countUnsent(suspicions);
+    const maxCount = maxSuspicionsPerDatagram * maxDatagramsPerHeartbeat;
+    const count = Math.min(maxCount, Math.max(maxSuspicionsPerDatagram, unsentCount));
+    this.carriedSuspicions = this.rotation.next(suspicions, count);
+    if (unsentCount > count) this.handlers.onSuspicionsLeftOut(unsentCount - count);
+  }
+
+  private send(data: Buffer, {host, port}: SocketAddress): void {
+    // Send errors are ignored: an unreachable peer is detected by its missing heartbeats.
+    this.socket.send(data, port, host, () => undefined);
+  }
+
   /** Stops sending and receiving. */
   close(): void {
     clearInterval(this.timer);
     this.socket.close();
   }
 
-  private nextReceivers(): readonly SocketAddress[] {
-    const peers = this.handlers.peerAddresses();
-    if (peers.length <= maxPeersPerHeartbeat) return peers;
-    const start = this.nextPeerIndex % peers.length;
+  private nextReceivers(peers: readonly SocketAddress[]): readonly SocketAddress[] {
+    const start = this.nextPeerIndex < peers.length ? this.nextPeerIndex : 0;
     this.nextPeerIndex = start + maxPeersPerHeartbeat;
-    return [...peers, ...peers].slice(start, start + maxPeersPerHeartbeat);
+    return peers.slice(start, this.nextPeerIndex);
   }
 
   private receive(data: Buffer, from: string): void {
@@ -79,3 +97,11 @@
     else this.handlers.onHeartbeat(message);
   }
 }
+
+/** Splits the items into parts of limited size; there is at least one part, which may be empty. */
+function partsOf<Item>(items: readonly Item[], maxSize: number): ReadonlyArray<readonly Item[]> {
+  const count = Math.max(1, Math.ceil(items.length / maxSize));
+  return Array.from({length: count}, (_, part) =>
+    items.slice(part * maxSize, (part + 1) * maxSize),
+  );
+}
