Send requests that crash targets in a profile of the soak

No run of the soak sent such a request, so the guard against them was tested with one gateway at most. In the new profile 'crashing' a caller sends the same two requests again and again at any gateway, beside faults of processes and targets; targets that they crash start again under their ids. A check counts arrivals later than the stability time after the third crash, of which three are allowed, as the users' rule says.

The profile is a guard for several gateways, not a reproduction; that is platform/__tests__/poison_requests.test.ts.

--- a/packages/soak/__tests__/promise_checks.test.ts
+++ b/packages/soak/__tests__/promise_checks.test.ts
@@ -12,6 +12,7 @@
     {version: 2, atMs: 50_000, services: {'/read/': 'files', '/book/': 'orders', '/new/': 'pages'}},
   ],
   leavings: [],
+  crashes: [],
   notReady: [],
   memoryPeaks: [{gateway: 'g', bytes: 60e6}],
   healedAtMs: Infinity,
@@ -98,7 +99,28 @@
   expect(brokenChecks(validHistory)).toEqual([]);
 });
 
+/** Crashes at 1, 2 and 3 s by one request, which then reaches a target four times from the given time on. */
+function crashedThriceAndSentFrom(fromMs: number): Partial<SoakHistory> {
+  const ids = ['c1', 'c2', 'c3', 'c4'];
+  return {
+    crashes: [1_000, 2_000, 3_000].map(atMs => ({targetId: 't', path: '/book/crash', atMs})),
+    requests: ids.map(id =>
+      sentRequest({id, path: '/book/crash', sentAtMs: fromMs, end: answeredEnd(502)}),
+    ),
+    targetEvents: ids.map(requestId => targetEvent('arrived', {requestId, atMs: fromMs + 10})),
+  };
+}
+
+test('a crashing request may reach targets until gateways have heard of the third crash', () => {
+  expect(brokenChecks(crashedThriceAndSentFrom(6_000))).not.toContain('crashing-request');
+});
+
 const violations: ReadonlyArray<readonly [string, string, Partial<SoakHistory>]> = [
+  [
+    'crashing-request',
+    'a request is sent on long after it has crashed three targets',
+    crashedThriceAndSentFrom(8_000),
+  ],
   ['at-most-once', 'a booking runs twice', {targetEvents: [...servedEvents, targetEvent('ran')]}],
   [
     'true-refusal',
--- a/packages/soak/src/fault_plan.ts
+++ b/packages/soak/src/fault_plan.ts
@@ -86,13 +86,17 @@
   evacuate: 2,
 };
 
-/** Fault profiles by name. With `planned`, which has planned operations only, no request may be cut off. */
+/**
+ * Fault profiles by name. With `planned`, which has planned operations only, no request may be cut off. With `crashing`, a
+ * caller sends requests that crash targets in addition.
+ */
 export const faultProfiles = {
   planned: plannedOperations,
   mixed: {...linkFaults, ...processFaults, ...storeFaults, ...targetFaults, ...plannedOperations},
   links: {...linkFaults, ...plannedOperations},
   processes: {...processFaults, ...targetFaults, ...plannedOperations},
   store: {...storeFaults, ...plannedOperations},
+  crashing: {...processFaults, ...targetFaults},
 } as const satisfies Readonly<Record<string, FaultProfile>>;
 
 /** Name of a profile. */
--- a/packages/soak/src/promise_checks.ts
+++ b/packages/soak/src/promise_checks.ts
@@ -2,13 +2,10 @@
  * The promises that a soak checks, each on the whole history of a run. Checks with a time bound depend on the speed of
  * the machine, so they are omitted where the result must be the same on every run.
  */
-import type {
-  Disruption,
-  SentRequest,
-  SoakHistory,
-  TargetEvent,
-  WrittenConfiguration,
-} from './soak_history';
+import {HistoryIndex, labelOf} from './history_index';
+import type {PromiseBounds} from './promise_bounds';
+import {findExcessiveRetries, findRetriesOfCrashingRequests} from './retry_checks';
+import type {Disruption, SentRequest, SoakHistory, WrittenConfiguration} from './soak_history';
 
 /** One violation of a promise. */
 export interface Violation {
@@ -16,33 +13,6 @@
   readonly detail: string;
 }
 
-/** Bounds that the checks apply. */
-export interface PromiseBounds {
-  /** Time without disruptions after which the promises with a time bound hold again. */
-  readonly stabilityMs: number;
-  /** Time after which a leaving target gets no new requests. */
-  readonly drainMs: number;
-  /** Time within which gateways adopt a configuration. */
-  readonly adoptionMs: number;
-  /** Time within which a request ends that was sent while its connection was being closed. */
-  readonly closeRaceMs: number;
-  /** Time after which a request that its caller cancelled no longer reaches a target. */
-  readonly cancelMs: number;
-  /** Timeout of every route. */
-  readonly timeoutMs: number;
-  /** How long after the timeout an answer may still arrive. */
-  readonly timeoutSlackMs: number;
-  /** Retries that all gateways together may send, as a fraction of the requests in one window. */
-  readonly retryRatio: number;
-  /** Retries that are allowed in addition to that fraction. */
-  readonly retrySlackRequests: number;
-  readonly retryWindowMs: number;
-  /** Maximum resident memory of a gateway process. */
-  readonly maxMemoryBytes: number;
-  /** Minimum fraction of the requests that are served after the last disruption. */
-  readonly minServedFraction: number;
-}
-
 type Check = (index: HistoryIndex, bounds: PromiseBounds) => readonly string[];
 
 /** HTTP statuses by which a gateway states that a request was not run. */
@@ -67,6 +37,7 @@
   'planned-stop': findCutsWithoutFault,
   configuration: findLateAdoptions,
   'retry-limit': findExcessiveRetries,
+  'crashing-request': findRetriesOfCrashingRequests,
   cancellation: findArrivalsAfterCancel,
   'time-out': findLateAnswers,
   recovery: findMissingRecovery,
@@ -85,68 +56,6 @@
   );
 }
 
-/** The history, indexed for the checks. */
-class HistoryIndex {
-  readonly requestById: ReadonlyMap<string, SentRequest>;
-  readonly runsById: ReadonlyMap<string, readonly TargetEvent[]>;
-  readonly arrivalsById: ReadonlyMap<string, readonly TargetEvent[]>;
-  readonly answersById: ReadonlyMap<string, readonly TargetEvent[]>;
-
-  constructor(
-    readonly history: SoakHistory,
-    private readonly bounds: PromiseBounds,
-  ) {
-    this.requestById = new Map(history.requests.map(request => [request.id, request]));
-    this.runsById = eventsByRequest(history.targetEvents, 'ran');
-    this.arrivalsById = eventsByRequest(history.targetEvents, 'arrived');
-    this.answersById = eventsByRequest(history.targetEvents, 'answered');
-  }
-
-  runsOf(id: string): readonly TargetEvent[] {
-    return this.runsById.get(id) ?? [];
-  }
-
-  arrivalsOf(id: string): readonly TargetEvent[] {
-    return this.arrivalsById.get(id) ?? [];
-  }
-
-  /** Whether a relevant disruption of a subject overlaps the period, or the `stabilityMs` before it. */
-  isDisrupted(
-    subjects: readonly string[],
-    fromMs: number,
-    untilMs: number,
-    isRelevant: (disruption: Disruption) => boolean = () => true,
-  ): boolean {
-    const {stabilityMs} = this.bounds;
-    return this.history.disruptions.some(
-      disruption =>
-        subjects.includes(disruption.subject) &&
-        disruption.fromMs <= untilMs &&
-        disruption.untilMs + stabilityMs >= fromMs &&
-        isRelevant(disruption),
-    );
-  }
-}
-
-function eventsByRequest(
-  events: readonly TargetEvent[],
-  kind: TargetEvent['kind'],
-): ReadonlyMap<string, readonly TargetEvent[]> {
-  const found = new Map<string, TargetEvent[]>();
-  for (const event of events) {
-    if (event.kind !== kind) continue;
-    const list = found.get(event.requestId) ?? [];
-    list.push(event);
-    found.set(event.requestId, list);
-  }
-  return found;
-}
-
-function labelOf({id, kind, gateway, end}: SentRequest): string {
-  const ending = end.kind === 'answered' ? String(end.status) : end.kind;
-  return `${id} (${kind} at ${gateway}, ended ${ending})`;
-}
-
 function findRepeatedRuns({history, runsById}: HistoryIndex): readonly string[] {
   return history.requests
     .filter(({id, kind}) => kind !== 'read' && (runsById.get(id)?.length ?? 0) > 1)
@@ -327,32 +236,6 @@
   });
 }
 
-function findExcessiveRetries(index: HistoryIndex, bounds: PromiseBounds): readonly string[] {
-  const {retryWindowMs, retryRatio, retrySlackRequests} = bounds;
-  const services = new Set(index.history.targetEvents.map(({service}) => service));
-  return [...services].flatMap(service => {
-    const retryTimes = [...index.arrivalsById.values()]
-      .flatMap(arrivals => arrivals.filter(event => event.service === service).slice(1))
-      .map(({atMs}) => atMs)
-      .sort((a, b) => a - b);
-    const firstAttemptTimes = [...index.arrivalsById.values()]
-      .flatMap(arrivals => arrivals.filter(event => event.service === service).slice(0, 1))
-      .map(({atMs}) => atMs);
-    const countIn = (times: readonly number[], fromMs: number) =>
-      times.filter(atMs => atMs >= fromMs && atMs < fromMs + retryWindowMs).length;
-    return retryTimes.flatMap(fromMs => {
-      const count = countIn(retryTimes, fromMs);
-      const requests = Math.max(
-        ...[0, retryWindowMs / 2, retryWindowMs].map(backMs =>
-          countIn(firstAttemptTimes, fromMs - backMs),
-        ),
-      );
-      const limit = requests * retryRatio + retrySlackRequests;
-      return count > limit ? [`${service}: ${count} retries, at most ${limit} are allowed`] : [];
-    });
-  });
-}
-
 function findArrivalsAfterCancel(
   index: HistoryIndex,
   {cancelMs}: PromiseBounds,
@@ -389,7 +272,10 @@
   const later = history.requests.filter(
     ({sentAtMs, end}) => sentAtMs > history.healedAtMs && end.kind !== 'left',
   );
-  const expected = later.filter(({end}) => end.kind !== 'answered' || end.status !== 404);
+  const crashingPaths = new Set(history.crashes.map(({path}) => path));
+  const expected = later
+    .filter(({path}) => !crashingPaths.has(path))
+    .filter(({end}) => end.kind !== 'answered' || end.status !== 404);
   const served = expected.filter(({end}) => end.kind === 'answered' && end.status === 200);
   const late = history.notReady.map(name => `${name} was not ready in time`);
   if (later.length > 0 && served.length >= expected.length * bounds.minServedFraction) return late;
--- a/packages/soak/src/run_soak.ts
+++ b/packages/soak/src/run_soak.ts
@@ -4,11 +4,13 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {noObjectStoreFault} from '@cuminsill/standins';
 import {seededRandom} from '@cuminsill/utils';
+import {crashingTraffic, ordinaryTraffic} from './caller_traffic';
 import type {ProfileName} from './fault_plan';
 import {planFaults, profileForSeed} from './fault_plan';
 import {healthyLink} from './fault_proxy';
 import {injectFault} from './inject_fault';
-import type {PromiseBounds, Violation} from './promise_checks';
+import type {PromiseBounds} from './promise_bounds';
+import type {Violation} from './promise_checks';
 import {checkPromises} from './promise_checks';
 import {SoakCaller} from './soak_caller';
 import type {SoakHistory} from './soak_history';
@@ -50,6 +52,8 @@
   retryWindowMs: 10_000,
   maxMemoryBytes: 350e6,
   minServedFraction: 0.9,
+  maxCrashes: 3,
+  maxRetriesAfterCrashes: 3,
 };
 
 /** Maximum time until every gateway is ready, at the start and after the faults, in milliseconds. */
@@ -88,8 +92,12 @@
   let isSending = true;
   const callers = Array.from({length: options.callerCount}, (_, number) => {
     const random = seededRandom(options.seed * 1_000 + number);
-    return new SoakCaller(deployment, `c${number + 1}`, random).run(() => isSending);
+    const caller = new SoakCaller(deployment, `c${number + 1}`, random, ordinaryTraffic);
+    return caller.run(() => isSending);
   });
+  if (profile === 'crashing') {
+    callers.push(sendCrashingRequests(deployment, options, () => isSending));
+  }
   const memoryTimer = setInterval(() => recordMemory(deployment), memoryIntervalMs);
   const startMs = deployment.nowMs();
   const faults = planFaults(options.seed, options.durationMs, profile).map(async fault => {
@@ -110,6 +118,15 @@
   return deployment.recorder.finish(deployment.nowMs());
 }
 
+function sendCrashingRequests(
+  deployment: SoakDeployment,
+  {seed}: SoakOptions,
+  shouldContinue: () => boolean,
+): Promise<void> {
+  const random = seededRandom(seed);
+  return new SoakCaller(deployment, 'crash', random, crashingTraffic).run(shouldContinue);
+}
+
 function removeFaults(deployment: SoakDeployment): void {
   deployment.store.fault = noObjectStoreFault;
   for (const gateway of deployment.gateways) {
--- a/packages/soak/src/soak_caller.ts
+++ b/packages/soak/src/soak_caller.ts
@@ -7,8 +7,9 @@
 import {callerHeaders, gatewayPages, readAnswerHead} from '@cuminsill/standins';
 import type {RandomSource} from '@cuminsill/utils';
 import {randomBelow} from '@cuminsill/utils';
+import type {CallerTraffic} from './caller_traffic';
 import type {GatewayProcess} from './gateway_process';
-import type {RequestEnd, RequestKind} from './soak_history';
+import type {RequestEnd} from './soak_history';
 import type {SoakDeployment} from './soak_deployment';
 
 const requestTimeoutMs = 2_000;
@@ -17,29 +18,8 @@
 const maxPauseMs = 40;
 const cancelFraction = 0.04;
 const maxCancelDelayMs = 60;
-const objectCount = 40;
-const chunksPerUpload = 4;
-/** Repetitions of the request id that make up one chunk of a body, times 100. */
-const idRepeatsTimes100 = 8_000;
 const chunkIntervalMs = 3;
 
-interface RequestShape {
-  readonly method: string;
-  readonly pathPrefix: string;
-  readonly kind: RequestKind;
-  readonly chunkCount: number;
-}
-
-/** Requests from which callers choose at random; one that is listed twice is chosen twice as often. */
-const requestShapes: readonly RequestShape[] = [
-  {method: 'GET', pathPrefix: '/read/', kind: 'read', chunkCount: 0},
-  {method: 'GET', pathPrefix: '/read/', kind: 'read', chunkCount: 0},
-  {method: 'GET', pathPrefix: '/new/', kind: 'read', chunkCount: 0},
-  {method: 'POST', pathPrefix: '/book/', kind: 'book', chunkCount: 1},
-  {method: 'POST', pathPrefix: '/book/', kind: 'book', chunkCount: 1},
-  {method: 'POST', pathPrefix: '/send/', kind: 'send', chunkCount: chunksPerUpload},
-];
-
 /** A caller that sends requests until it is told to stop. */
 export class SoakCaller {
   private agent = this.newAgent();
@@ -52,6 +32,7 @@
     private readonly deployment: SoakDeployment,
     private readonly name: string,
     private readonly random: RandomSource,
+    private readonly traffic: CallerTraffic,
   ) {}
 
   /** Sends requests one after the other while `shouldContinue` returns true. */
@@ -103,12 +84,13 @@
   private async sendRequest(): Promise<void> {
     this.gateway ??= this.pick(this.knownGateways);
     const {gateway} = this;
-    const shape = this.pick(requestShapes);
+    const {shapes, pathEnd, chunk, reconnects} = this.traffic;
+    const shape = this.pick(shapes);
     if (gateway === undefined || shape === undefined) return;
     this.lastRequestNumber += 1;
     const id = `${this.name}-${this.lastRequestNumber}`;
-    const path = `${shape.pathPrefix}${randomBelow(this.random, objectCount)}`;
-    const chunks = Array.from({length: shape.chunkCount}, () => id.repeat(idRepeatsTimes100 / 100));
+    const path = `${shape.pathPrefix}${pathEnd(this.random)}`;
+    const chunks = Array.from({length: shape.chunkCount}, () => chunk(id));
     const {incarnation} = gateway;
     const sentAtMs = this.deployment.nowMs();
     const end = await this.exchange(gateway, {id, method: shape.method, path, chunks});
@@ -124,7 +106,7 @@
       endedAtMs: this.deployment.nowMs(),
       end,
     });
-    if (end.kind !== 'answered') this.disconnect();
+    if (end.kind !== 'answered' || reconnects) this.disconnect();
   }
 
   private exchange(gateway: GatewayProcess, content: RequestContent): Promise<RequestEnd> {
--- a/packages/soak/src/soak_history.ts
+++ b/packages/soak/src/soak_history.ts
@@ -85,6 +85,13 @@
   readonly atMs: number;
 }
 
+/** A target that a request has crashed. */
+export interface TargetCrash {
+  readonly targetId: string;
+  readonly path: string;
+  readonly atMs: number;
+}
+
 /** Maximum resident memory of a gateway process. */
 export interface MemoryPeak {
   readonly gateway: string;
@@ -99,6 +106,8 @@
   readonly exits: readonly ProcessExit[];
   readonly configurations: readonly WrittenConfiguration[];
   readonly leavings: readonly TargetDeparture[];
+  /** In the order of time. */
+  readonly crashes: readonly TargetCrash[];
   readonly memoryPeaks: readonly MemoryPeak[];
   /** Gateways that were not ready in time, at the start or after the faults. */
   readonly notReady: readonly string[];
@@ -115,6 +124,7 @@
   readonly exits: ProcessExit[] = [];
   readonly configurations: WrittenConfiguration[] = [];
   readonly leavings: TargetDeparture[] = [];
+  readonly crashes: TargetCrash[] = [];
   readonly notReady: string[] = [];
   private readonly peakBytesByGateway = new Map<string, number>();
   private healedAtMs = Infinity;
@@ -133,7 +143,7 @@
 
   /** Returns the recorded history. */
   finish(endedAtMs: number): SoakHistory {
-    const {requests, targetEvents, disruptions, exits, configurations, leavings, healedAtMs} = this;
+    const {requests, targetEvents, disruptions, exits, configurations, leavings, crashes} = this;
     const memoryPeaks = [...this.peakBytesByGateway].map(([gateway, bytes]) => ({gateway, bytes}));
     return {
       requests,
@@ -142,9 +152,10 @@
       exits,
       configurations,
       leavings,
+      crashes,
       notReady: this.notReady,
       memoryPeaks,
-      healedAtMs,
+      healedAtMs: this.healedAtMs,
       endedAtMs,
     };
   }
--- a/packages/soak/src/target_fleet.ts
+++ b/packages/soak/src/target_fleet.ts
@@ -1,6 +1,8 @@
 /** The targets of a soak: stand-ins, each behind a proxy for its link, with their records in the store. */
+import {setTimeout as sleep} from 'node:timers/promises';
 import type {AnswerMode, ObjectTable} from '@cuminsill/standins';
 import {EndpointServer, wireEndpoint, wireKinds, wireEndpointStart} from '@cuminsill/standins';
+import {crashesTargets} from './caller_traffic';
 import {FaultProxy} from './fault_proxy';
 import {answerBody} from './promise_checks';
 import type {HistoryRecorder, TargetEvent} from './soak_history';
@@ -29,11 +31,14 @@
 const serviceTimeMs = 12;
 /** How long a target that starts during the run stays cold, in milliseconds. */
 export const coldMs = 2_000;
+/** Time until a target starts again that a request has crashed, in milliseconds. */
+const crashedMs = 1_500;
 
 /** All targets of a run. */
 export class TargetFleet {
   readonly targets: SoakTarget[] = [];
   private lastTargetNumber = 0;
+  private isStopped = false;
 
   constructor(
     private readonly table: ObjectTable,
@@ -76,6 +81,7 @@
 
   /** Starts the server of a target, also after a crash, and writes its record to the store. */
   async startTarget(target: SoakTarget, coldDurationMs: number): Promise<void> {
+    target.server?.stop();
     const server = this.makeServer(target);
     server.coldMs = coldDurationMs;
     target.location.link.upstream = {host: '127.0.0.1', port: await server.start()};
@@ -108,6 +114,7 @@
   }
 
   stop(): void {
+    this.isStopped = true;
     for (const target of this.targets) {
       this.crash(target);
       target.location.link.stop();
@@ -128,7 +135,27 @@
     else this.table.replace(wireKinds.targets, id, {spec});
   }
 
-  private makeServer({id, service, nextAnswerModes}: SoakTarget): EndpointServer {
+  /** Starts a target again that a request has crashed, unless another fault has ended it. */
+  private async restartAfterCrash(target: SoakTarget, path: string): Promise<void> {
+    target.server = undefined;
+    const fromMs = this.nowMs();
+    const {id: targetId} = target;
+    this.recorder.crashes.push({targetId, path, atMs: fromMs});
+    await sleep(crashedMs);
+    const untilMs = this.nowMs();
+    this.recorder.disruptions.push({
+      subject: targetId,
+      kind: 'crashing-request',
+      planned: false,
+      fromMs,
+      untilMs,
+    });
+    const isEnded = this.isStopped || !this.targets.includes(target);
+    if (!isEnded && target.server === undefined) await this.startTarget(target, 0);
+  }
+
+  private makeServer(target: SoakTarget): EndpointServer {
+    const {id, service, nextAnswerModes} = target;
     const recordEvent = (event: Omit<TargetEvent, 'atMs' | 'targetId' | 'service'>) =>
       this.recorder.targetEvents.push({
         ...event,
@@ -148,7 +175,9 @@
         onRun: ({id: requestId, method, path, body}) =>
           recordEvent({kind: 'ran', requestId, method, path, body}),
         onAnswered: (requestId, status) => recordEvent({kind: 'answered', requestId, status}),
+        onCrashed: ({path}) => void this.restartAfterCrash(target, path),
       },
+      crashesOn: crashesTargets,
     });
   }
 }
