Register a gateway again when its record is missing in the store

The retry budget is divided among the gateways that the store lists, and look-ups name only those. A gateway wrote its record once, at its start, and never looked at it again.

Cause of a loss: the deletion that a stopping gateway sends may be carried out seconds later (an answer that is lost), after the restarted process has registered under the same name. The gateway is then unknown to the others until its next start; each of them counts one gateway too few and takes a larger part of the retry budget. From four missing of ten on, the parts add up to more than the limit (0.7 x 10 / 6).

Change: the feed of the gateways' records tells whether the own one is listed. If it is missing for half a second, the gateway registers again, after a random delay that spreads the writes of a whole fleet. A stopping gateway does not.

Failed before, passes now: 'registers again when its record has been removed' in platform/__tests__/gateway_registration.test.ts.

Ruled out: a condition on the revision in the deletion alone; it does not help when the store loses the record.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -8,7 +8,7 @@
 import {PoisonGuard} from '@cuminsill/steering';
 import type {TimeSource} from '@cuminsill/utils';
 import {systemTime} from '@cuminsill/utils';
-import {Effect, Fiber, Schedule} from 'effect';
+import {Effect, Fiber} from 'effect';
 import {BoundedLogStream} from './bounded_log_stream';
 import {CallerServer} from './caller_server';
 import {ConfigurationView} from './configuration_view';
@@ -32,6 +32,7 @@
 import {PoisonTracker} from './poison_tracker';
 import type {RetryLimit} from './retry_budget';
 import {RetryBudget} from './retry_budget';
+import {SelfRegistration} from './self_registration';
 import {ServiceSelector} from './service_selector';
 import {ServiceTimeEstimators} from './service_time_estimator';
 import {TargetConnections} from './target_connections';
@@ -43,7 +44,6 @@
 /** The process exits this long before it would be killed. */
 const exitMarginMs = 250;
 const idlePollIntervalMs = 25;
-const registerRetryIntervalMs = 500;
 const logFlushTimeoutMs = 100;
 
 /** One running gateway. */
@@ -56,6 +56,7 @@
   private readonly pages: GatewayPages;
   private readonly feeds: readonly ObjectFeed<unknown>[];
   private readonly ownRecord: GatewayRecord;
+  private readonly registration: SelfRegistration;
   private fibers: readonly Fiber.RuntimeFiber<unknown, unknown>[] = [];
   private peerState: PeerState = 'starting';
   private heartbeatSequence = 0;
@@ -76,7 +77,8 @@
     this.callerServer = new CallerServer(this.parts);
     this.targetProber = new TargetProber(this.parts);
     this.peerExchange = this.makePeerExchange();
-    this.feeds = makeFeeds(this.parts, ports);
+    this.registration = new SelfRegistration(ports.registry, this.ownRecord, this.parts.log);
+    this.feeds = makeFeeds(this.parts, ports, isListed => this.registration.onList(isListed));
     this.pages = makePages(this.parts, ports.lookupWire, {
       isReady: () => this.isReady(),
       feedStates: () => this.feedStates(),
@@ -93,8 +95,8 @@
       yield* toEffect(() => this.pages.metrics.listen(listen.metrics));
       yield* toEffect(() => this.peerExchange.start());
       this.targetProber.start();
-      const feeds = this.feeds.map(feed => feed.run());
-      this.fibers = [...feeds, this.registerWithRetries()].map(task => Effect.runFork(task));
+      this.fibers = this.feeds.map(feed => Effect.runFork(feed.run()));
+      this.registration.start();
       this.parts.log.event('start', {region, failureDomain});
     });
   }
@@ -109,7 +111,7 @@
       this.callerServer.startLeaving();
       const inFlight = this.callerServer.requestsInFlight;
       this.parts.log.event('stop', {phase: 'leaving', inFlight, graceMs});
-      yield* Effect.forkDaemon(Effect.ignore(this.ports.registry.remove(this.ownRecord.name)));
+      yield* Effect.forkDaemon(this.registration.remove());
       yield* Effect.sleep(graceMs * refuseAfterFraction);
       this.callerServer.refuseNewRequests();
       const endMs = startedAtMs + graceMs - exitMarginMs;
@@ -152,15 +154,6 @@
     });
   }
 
-  private registerWithRetries(): Effect.Effect<void> {
-    const {registry} = this.ports;
-    const retried = Effect.retry(
-      registry.register(this.ownRecord),
-      Schedule.spaced(registerRetryIntervalMs),
-    );
-    return Effect.ignore(retried);
-  }
-
   private makeParts(): GatewayParts {
     const {settings, time} = this;
     const {name, regions, failureDomain} = settings.value;
--- a/packages/gateway/src/gateway_feeds.ts
+++ b/packages/gateway/src/gateway_feeds.ts
@@ -1,6 +1,7 @@
 /** Creates the feeds that keep a gateway's views up to date with the store. */
 import type {GatewayParts} from './gateway_parts';
 import type {GatewayPorts} from './gateway_ports';
+import type {GatewayRecord} from './gateway_types';
 import type {FeedTiming, FeedSink} from './object_feed';
 import {ObjectFeed} from './object_feed';
 import type {ObjectSource} from './object_source';
@@ -17,10 +18,14 @@
 /** A view that takes lists and changes but does not handle outages of the store. */
 type ObjectView<Content> = Pick<FeedSink<Content>, 'replace' | 'apply'>;
 
-/** Makes the feeds of a gateway; each runs until interrupted. */
+/**
+ * Makes the feeds of a gateway; each runs until interrupted.
+ * @param onOwnRecord Called with whether the gateway's own record is listed, after each change of the gateways' records.
+ */
 export function makeFeeds(
   parts: GatewayParts,
   ports: GatewayPorts,
+  onOwnRecord: (isListed: boolean) => void,
 ): ReadonlyArray<ObjectFeed<unknown>> {
   const {configuration, targets, evacuations, peers} = parts;
   const targetSink = {
@@ -28,11 +33,21 @@
     apply: targets.apply.bind(targets),
     onConnected: (outageMs: number) => targets.onStoreConnected(outageMs),
   };
+  const gatewaySink = sinkFor<GatewayRecord>({
+    replace: list => {
+      peers.replace(list);
+      onOwnRecord(peers.isOwnRecordListed);
+    },
+    apply: changes => {
+      peers.apply(changes);
+      onOwnRecord(peers.isOwnRecordListed);
+    },
+  });
   return [
     makeFeed(parts, ports.configurations, promptTiming, sinkFor(configuration)),
     makeFeed(parts, ports.evacuations, promptTiming, sinkFor(evacuations)),
     makeFeed(parts, ports.targets, targetTiming, targetSink),
-    makeFeed(parts, ports.gateways, gatewayTiming, sinkFor(peers)),
+    makeFeed(parts, ports.gateways, gatewayTiming, gatewaySink),
   ];
 }
 
--- a/packages/gateway/src/peer_table.ts
+++ b/packages/gateway/src/peer_table.ts
@@ -63,6 +63,11 @@
     this.lastHeartbeats.set(heartbeat.name, {heartbeat, heardAtMs: this.time.monotonicMs()});
   }
 
+  /** Whether the store lists this gateway's own record. */
+  get isOwnRecordListed(): boolean {
+    return this.records.has(this.ownRecord.name);
+  }
+
   /** All listed gateways except this one. */
   otherGateways(): readonly GatewayRecord[] {
     return [...this.records.values()].filter(({name}) => name !== this.ownRecord.name);
