Give a gateway no slack for retries during its first window

The limit on retries holds over all gateways and in every window; each gateway has an equal part of the slack. A process that started again had its whole part at once, although its predecessor may have spent one in the same window, so each restart of the fleet could add 42 retries to a limit of 60 and more.

Cause: what was spent is kept in the process and ends with it.

Change: a process earns retries by its requests from the start, and gets its part of the slack after its first window.

Ruled out: slack that accrues over the window, which allows nearly twice the part across a restart.

--- a/packages/gateway/src/retry_budget.ts
+++ b/packages/gateway/src/retry_budget.ts
@@ -2,6 +2,8 @@
  * Retry budget per service. The global limit is divided among the gateways: each may retry a fraction of its own
  * requests, and gets an equal part of the slack. The gateways exchange nothing, so the limit also holds during a
  * network partition.
+ *
+ * A process does not know what its predecessor has spent, so it gets no slack during its first window.
  */
 import type {TimeSource} from '@cuminsill/utils';
 
@@ -32,6 +34,7 @@
 /** Retry budgets of one gateway, by service. */
 export class RetryBudget {
   private readonly byService = new Map<string, ServiceRetryBudget>();
+  private readonly startedAtMs: number;
 
   /**
    * @param limit Returns the current limit, which a reload may change.
@@ -41,7 +44,9 @@
     private readonly limit: () => RetryLimit,
     private readonly time: TimeSource,
     private readonly gatewayCount: () => number,
-  ) {}
+  ) {
+    this.startedAtMs = time.monotonicMs();
+  }
 
   /** Earns credit for the first attempt of a request. */
   recordRequest(service: string): void {
@@ -71,6 +76,7 @@
    */
   private ownSlack(nowMs: number): number {
     const {slack, windowMs} = this.limit();
+    if (nowMs - this.startedAtMs < windowMs) return 0;
     const slackPerGateway = (slack * usedFraction) / Math.max(1, this.gatewayCount());
     if (slackPerGateway >= 1) return Math.floor(slackPerGateway);
     const window = Math.floor(nowMs / windowMs);
--- a/packages/standins/src/users_platform/wire_objects.ts
+++ b/packages/standins/src/users_platform/wire_objects.ts
@@ -102,9 +102,13 @@
   /** Region of each failure domain. */
   readonly regions: Readonly<Record<string, string>>;
   readonly stopGraceS: number;
+  readonly retryWindowS?: number;
 }
 
-const defaultPlacement: GatewayPlacement = {
+const defaultRetryWindowS = 10;
+
+/** Placement of a gateway in tests with a single one. */
+export const defaultPlacement: GatewayPlacement = {
   name: 'front-a-1-1',
   region: 'a',
   failureDomain: 'a-1',
@@ -136,7 +140,7 @@
     bounds: {
       graceS: place.stopGraceS,
       retryBudgetRatio: 0.2,
-      budgetWindowS: 10,
+      budgetWindowS: place.retryWindowS ?? defaultRetryWindowS,
       budgetSlack: 60,
       coldOvershoot: 1.5,
       coldSlack: 5,
