Report the newest refusals of an entry once its ring of records has wrapped

An entry keeps 4,096 refusals and reports the recent ones to its control process, which explains them. Once the ring was full, recent() returned the end of the array, which holds the newest refusals only right after it was filled: with 6,000 refusals, those from 4,094 to 4,096.

Change: recent() begins at the oldest record.

Failed before, passes now: packages/entry/__tests__/refusal_responder.test.ts with 4,097, 6,000 and 10,000 refusals.

--- a/packages/entry/src/refusal_responder.ts
+++ b/packages/entry/src/refusal_responder.ts
@@ -22,6 +22,7 @@
 /** Sends refusals and keeps the recent ones. */
 export class RefusalResponder {
   private readonly records: RefusalRecord[] = [];
+  /** Where the ring of records begins; not 0 only once it is full. */
   private oldestIndex = 0;
 
   constructor(private readonly peerKey: string) {}
@@ -48,9 +49,10 @@
     return this.records.find(record => requestId.startsWith(record.requestId));
   }
 
-  /** Up to `limit` kept refusals, for reports to the control process. */
+  /** The newest kept refusals, up to `limit`, oldest first; for reports to the control process. */
   recent(limit: number): readonly RefusalRecord[] {
-    return this.records.slice(-limit);
+    const {records, oldestIndex} = this;
+    return [...records.slice(oldestIndex), ...records.slice(0, oldestIndex)].slice(-limit);
   }
 
   private requestIdWithToken(context: RefusalContext, error: ResultError): string {
