--- a/packages/standins/src/users_platform/object_store_server.ts
+++ b/packages/standins/src/users_platform/object_store_server.ts
@@ -20,6 +20,8 @@
   readonly delayMs: number;
   /** Applies writes and closes the connection instead of answering them. */
   readonly losesWriteAnswers: boolean;
+  /** Restricts the mode to calls for objects of this kind. */
+  readonly onlyKind?: string;
 }
 
 /** The store answers normally. */
@@ -88,7 +90,7 @@
     const body = await readJson(request);
     this.calls.push(`${method} ${kind ?? url.pathname}`);
     if (this.fault.delayMs > 0) await sleep(this.fault.delayMs);
-    if (this.answerWithFault(response)) return;
+    if (this.answerWithFault(kind, response)) return;
     const handler = this.handlers[method];
     if (kind === undefined || handler === undefined) {
       send(response, {status: 404, body: {}});
@@ -101,7 +103,9 @@
     else send(response, reply);
   }
 
-  private answerWithFault(response: http.ServerResponse): boolean {
+  private answerWithFault(kind: string | undefined, response: http.ServerResponse): boolean {
+    const {mode, onlyKind} = this.fault;
+    if (onlyKind !== undefined && onlyKind !== kind) return false;
     const faultAnswers: Readonly<Record<StoreMode, () => boolean>> = {
       up: () => false,
       busy: () => send(response, {status: 503, body: {}}),
@@ -112,7 +116,7 @@
       },
       silent: () => true,
     };
-    return faultAnswers[this.fault.mode]();
+    return faultAnswers[mode]();
   }
 
   private read(call: StoreCall, response: http.ServerResponse): Reply | undefined {
