Log what the fingerprint of a lost request is made of

The line now holds the method, host, path, caller's address and size of the body beside it. No decision changes.

--- a/packages/gateway/src/decision_log.ts
+++ b/packages/gateway/src/decision_log.ts
@@ -7,6 +7,7 @@
 import {TokenBucket} from '@cuminsill/utils';
 import type {BoundedLogStream} from './bounded_log_stream';
 import type {AttemptSummary} from './attempt_record';
+import type {RequestIdentity} from './request_fingerprint';
 
 /** Rate limit for lines of successful requests. Suppressed lines are counted, and a later line reports the count. */
 const servedLinesPerS = 40;
@@ -42,6 +43,8 @@
   readonly storeAgeMs: number | undefined;
   /** Logged when an attempt was lost or the request is quarantined, to find the related `poison` lines. */
   readonly fingerprint?: string;
+  /** What the fingerprint is made of; logged with it, to see which part differs between two requests. */
+  readonly identity?: RequestIdentity;
   readonly tries: readonly AttemptSummary[];
 }
 
--- a/packages/gateway/src/serve_request.ts
+++ b/packages/gateway/src/serve_request.ts
@@ -1,6 +1,5 @@
 /** Handles one request of a caller from its head to the final answer, and logs the decision. */
 import type {IncomingMessage} from 'node:http';
-import {digest} from '@cuminsill/utils';
 import {Effect} from 'effect';
 import type {CallerRequest} from './caller_request';
 import {readBody} from './caller_request';
@@ -11,6 +10,7 @@
 import {forwardRequest} from './forwarding';
 import type {GatewayParts} from './gateway_parts';
 import type {RouteRule} from './gateway_types';
+import {fingerprintOf, identityOf} from './request_fingerprint';
 import type {CallerHead} from './request_wire';
 import type {RouteTable} from './route_table';
 import {targetState} from './status_page';
@@ -47,6 +47,7 @@
 class RequestHandler {
   private route: RouteRule | undefined;
   private service: string | undefined;
+  private request: CallerRequest | undefined;
   private fingerprint: string | undefined;
   private result: ForwardingResult | undefined;
   private readonly head: CallerHead;
@@ -111,6 +112,7 @@
       this.service = parts.serviceSelector.next(this.route);
       if (this.service === undefined) return Effect.succeed(ownAnswer('no-usable-target'));
       const request = this.callerRequest(body);
+      this.request = request;
       const fingerprint = fingerprintOf(request);
       this.fingerprint = fingerprint;
       if (parts.poison.isQuarantined(fingerprint)) return Effect.succeed(ownAnswer('quarantined'));
@@ -178,16 +180,19 @@
       usableTargets: targets.filter(isUsable).length,
       listedTargets: targets.length,
       storeAgeMs: parts.storeAgeMs(),
-      ...this.fingerprintField(answer),
+      ...this.fingerprintFields(answer),
       tries: result?.record.attempts ?? [],
     };
   }
 
-  private fingerprintField(answer: FinalAnswer | undefined): Pick<RequestDecision, 'fingerprint'> {
-    const {fingerprint, result} = this;
-    if (fingerprint === undefined) return {};
+  private fingerprintFields(
+    answer: FinalAnswer | undefined,
+  ): Pick<RequestDecision, 'fingerprint' | 'identity'> {
+    const {request, fingerprint, result} = this;
+    if (request === undefined || fingerprint === undefined) return {};
     const wasLost = result?.record.attempts.some(({end}) => end === 'lost') === true;
-    return wasLost || outcomeOf(answer) === 'quarantined' ? {fingerprint} : {};
+    const isLogged = wasLost || outcomeOf(answer) === 'quarantined';
+    return isLogged ? {fingerprint, identity: identityOf(request)} : {};
   }
 }
 
@@ -198,11 +203,6 @@
   return Math.min(callerTimeoutMs ?? defaultTimeoutMs, route.timeoutMs ?? defaultTimeoutMs);
 }
 
-/** Identifies a request and its repetitions, whose other headers may differ. */
-function fingerprintOf({method, host, path, callerAddress, body}: CallerRequest): string {
-  return digest(method, host ?? '', path, callerAddress, body);
-}
-
 function headerBytes(incoming: IncomingMessage): number {
   // Adds two bytes to each name and value, for the separator and the line end.
   return incoming.rawHeaders.reduce((sum, text) => sum + text.length + 2, 0);
