Recognize a crashing request whose repeats come from other addresses

Cause: the fingerprint of a request included the caller's address. A caller with many addresses, or several callers of the same request, gave each repeat a fingerprint of its own, and each had to crash two targets before it was refused. The record shows 17 fingerprints for the requests of one object, each quarantined correctly.

The fingerprint is now a digest of the method, host, path and body, which is what a target runs. Requests that many callers send share it; they are protected by their answers, as before.

Ruled out: evidence that is lost or not shared (each fingerprint was quarantined and known to all gateways 0.6 s later), and another path for each repeat (two fingerprints of the record come again in requests that overlap in time).

--- a/packages/gateway/src/decision_log.ts
+++ b/packages/gateway/src/decision_log.ts
@@ -43,7 +43,7 @@
   readonly storeAgeMs: number | undefined;
   /** Logged when an attempt was lost or the request is quarantined, to find the related `poison` lines. */
   readonly fingerprint?: string;
-  /** What the fingerprint is made of; logged with it, to see which part differs between two requests. */
+  /** Logged with the fingerprint, to see in what two requests differ. */
   readonly identity?: RequestIdentity;
   readonly tries: readonly AttemptSummary[];
 }
--- a/packages/gateway/src/request_fingerprint.ts
+++ b/packages/gateway/src/request_fingerprint.ts
@@ -5,7 +5,7 @@
 /** Longer paths are cut off in the log. */
 const maxLoggedPathLength = 200;
 
-/** What a fingerprint is made of; written to the log. */
+/** What the log tells of a request with a fingerprint. */
 export interface RequestIdentity {
   readonly method: string;
   readonly host: string;
@@ -14,19 +14,17 @@
   readonly bodyBytes: number;
 }
 
-/** Digest of the request without its headers, which may differ between repetitions. */
-export function fingerprintOf({method, host, path, callerAddress, body}: CallerRequest): string {
-  return digest(method, host ?? '', path, callerAddress, body);
+/**
+ * Digest of what a target runs. Headers and the caller's address are left out: they may differ between repetitions, and
+ * a caller may have many addresses.
+ */
+export function fingerprintOf({method, host, path, body}: CallerRequest): string {
+  return digest(method, host ?? '', path, body);
 }
 
-/** Returns what the fingerprint is made of, with the size in place of the body. */
-export function identityOf({
-  method,
-  host,
-  path,
-  callerAddress,
-  body,
-}: CallerRequest): RequestIdentity {
+/** Returns the parts of the fingerprint, with the size in place of the body, and the caller's address. */
+export function identityOf(request: CallerRequest): RequestIdentity {
+  const {method, host, path, callerAddress, body} = request;
   return {
     method,
     host: host ?? '',
