Refuse a request that crashes targets although it was answered before

Callers would see a request that starts to crash targets, after data or code behind it changed, go on doing so for ten minutes: an answer protected its fingerprint for that time against any number of losses.

An answer now removes the losses before it and no later ones. What protects a frequent request when a failure domain is lost is another distinction: a loss counts towards refusal only if one of the targets was lost by a repeat, sent after an earlier loss was known. Targets lost at the same time, at one gateway or several, count as one. After an answer it takes three targets, because a frequent request may meet two targets of a failing domain one after the other (the entry's test of that stays). A retry that would be the last loss before refusal is not sent. Heartbeats and peer messages tell which losses were repeats; those of earlier versions count as before.

Both designs use the guard, so the entry gets the same rule.

--- a/packages/entry/src/forwarder.ts
+++ b/packages/entry/src/forwarder.ts
@@ -44,7 +44,8 @@
     if (deps.poisonGuard.isQuarantined(fingerprint)) {
       return Effect.fail(new ResultError(resultCodes.quarantined));
     }
-    const context: RequestContext = {head, request, response, body, fingerprint};
+    const wasSuspected = deps.poisonGuard.isSuspected(fingerprint);
+    const context: RequestContext = {head, request, response, body, fingerprint, wasSuspected};
     return head.isIdempotent ? serveIdempotent(deps, context) : serveNonIdempotent(deps, context);
   }
 }
--- a/packages/entry/src/forwarder_types.ts
+++ b/packages/entry/src/forwarder_types.ts
@@ -47,4 +47,6 @@
   readonly body: ReplayableBody;
   /** Digest of service, method, path and buffered body; equal for repetitions of the same request. */
   readonly fingerprint: string;
+  /** True if a target was known to have gone down under the same request when this one arrived. */
+  readonly wasSuspected: boolean;
 }
--- a/packages/entry/src/relay_and_release.ts
+++ b/packages/entry/src/relay_and_release.ts
@@ -67,7 +67,11 @@
     deps.poisonGuard.recordAnswered(context.fingerprint, response.statusCode ?? 0);
   }
   if (end.kind !== 'cut') return;
-  deps.poisonGuard.recordLostTarget(context.fingerprint, assignment.target.id);
+  deps.poisonGuard.recordLostTarget(
+    context.fingerprint,
+    assignment.target.id,
+    context.wasSuspected,
+  );
   deps.reportSoon();
 }
 
--- a/packages/entry/src/try_targets.ts
+++ b/packages/entry/src/try_targets.ts
@@ -81,8 +81,9 @@
       }
       if (end.kind === 'responded') end.response.resume();
       const lateEnd = releaseSlot(deps, assignment, end, result, startedAtMs);
+      const isRepeat = context.wasSuspected || progress.lostConnections > 0;
       progress = recordAttempt(progress, assignment, result);
-      recordLostTarget(deps, context, assignment, end);
+      recordLostTarget(deps, context, assignment, end, isRepeat);
       const refusal = refusalAfterAttempt(deps, context, end, result, progress);
       if (refusal !== undefined) return yield* Effect.fail(new AttemptsFailed(refusal, lateEnd));
       deps.metrics.count('retries.sent', 1, {service: context.head.contract.id, after: result});
@@ -233,6 +234,7 @@
     progress.lostConnections <= 1 &&
     progress.attempts < deps.maxAttempts &&
     body.canSend &&
+    !deps.poisonGuard.isQuarantined(context.fingerprint) &&
     deps.retryBudget.tryRetry(head.contract.id);
   if (mayRetry) return undefined;
   if (mayHaveRun) return new ResultError(resultCodes.targetFailed);
@@ -263,8 +265,9 @@
   context: RequestContext,
   assignment: Assignment,
   end: AttemptEnd,
+  isRepeat: boolean,
 ): void {
   if (end.kind !== 'connection-lost') return;
-  deps.poisonGuard.recordLostTarget(context.fingerprint, assignment.target.id);
+  deps.poisonGuard.recordLostTarget(context.fingerprint, assignment.target.id, isRepeat);
   deps.reportSoon();
 }
--- a/packages/gateway/src/attempt_record.ts
+++ b/packages/gateway/src/attempt_record.ts
@@ -32,6 +32,11 @@
     return this.inFlightCount + this.reachedCount;
   }
 
+  /** Number of targets whose connection was lost while they had the request. */
+  get lostCount(): number {
+    return this.attempts.filter(({end}) => end === 'lost').length;
+  }
+
   /** True when the request is in flight or may have been run. */
   get mayHaveRun(): boolean {
     return this.inFlightCount > 0 || this.unknownOutcome !== 'no';
--- a/packages/gateway/src/forwarding.ts
+++ b/packages/gateway/src/forwarding.ts
@@ -16,6 +16,7 @@
 import {placeRequest} from './placement';
 import type {ExchangeEnd} from './target_exchange';
 import {exchangeWithTarget} from './target_exchange';
+import type {EndedAttempt} from './record_exchange_end';
 import {recordExchangeCancel, recordExchangeEnd} from './record_exchange_end';
 
 /** A request with the route, service and deadline for forwarding it. */
@@ -66,11 +67,15 @@
   private readonly record = new AttemptRecord();
   private lastPlacement: Placement | undefined;
   private refusal: FinalAnswer | undefined;
+  /** True if a target was known to have gone down under the same request before this one was sent. */
+  private readonly wasSuspected: boolean;
 
   constructor(
     private readonly parts: GatewayParts,
     private readonly forwarded: ForwardedRequest,
-  ) {}
+  ) {
+    this.wasSuspected = parts.poison.isSuspected(forwarded.fingerprint);
+  }
 
   /** Ends without a timeout of its own: each exchange has a deadline, and a retry needs remaining time. */
   run(): Effect.Effect<ForwardingResult> {
@@ -164,9 +169,18 @@
   private mayRetry(): boolean {
     const {repeat, maxTargets} = this.forwarded.route;
     if (repeat === 'at-most-once' && this.record.mayHaveRun) return false;
+    if (this.mayCrashNextTarget()) return false;
     return this.record.mayAttemptAnother(maxTargets) && this.remainingMs() > 0;
   }
 
+  /** True if the request is quarantined as soon as a probe shows that the target of its lost attempt is down. */
+  private mayCrashNextTarget(): boolean {
+    const {lostCount} = this.record;
+    if (lostCount === 0) return false;
+    const isRepeat = lostCount > 1 || this.wasSuspected;
+    return this.parts.poison.wouldQuarantine(this.forwarded.fingerprint, isRepeat);
+  }
+
   /** Chooses a target for a first attempt or a retry; without one, keeps the refusal and returns undefined. */
   private chooseAdmitted(): Placement | undefined {
     const placement = this.choosePlacement();
@@ -234,6 +248,7 @@
     const {target} = placement;
     return Effect.suspend(() => {
       const startedAtMs = parts.time.monotonicMs();
+      const isRepeat = record.lostCount > 0 || parts.poison.isSuspected(forwarded.fingerprint);
       this.lastPlacement = placement;
       record.recordStart(target.id);
       target.load.recordStart();
@@ -250,7 +265,9 @@
         isAtMostOnce: forwarded.route.repeat === 'at-most-once',
         onConnected: connectMs => parts.roundTripTimes.observe(target.failureDomain, connectMs),
       }).pipe(
-        Effect.tap(end => Effect.sync(() => this.recordEnd(placement, end, elapsedMs()))),
+        Effect.tap(end =>
+          Effect.sync(() => this.recordEnd({placement, end, elapsedMs: elapsedMs(), isRepeat})),
+        ),
         Effect.onInterrupt(() =>
           Effect.sync(() => {
             target.load.recordEnd();
@@ -262,9 +279,10 @@
     });
   }
 
-  private recordEnd(placement: Placement, end: ExchangeEnd, elapsedMs: number): void {
+  private recordEnd(attempt: EndedAttempt): void {
     const {parts, forwarded, record} = this;
-    recordExchangeEnd(parts, forwarded, placement, end, elapsedMs);
+    const {placement, end, elapsedMs} = attempt;
+    recordExchangeEnd(parts, forwarded, attempt);
     placement.target.load.recordEnd();
     record.recordEnd(placement.target.id, end, elapsedMs);
   }
--- a/packages/gateway/src/peer_message.ts
+++ b/packages/gateway/src/peer_message.ts
@@ -36,9 +36,15 @@
   if (from === undefined) return undefined;
   const fingerprint = stringField(from, 'fingerprint');
   const untilMs = numberField(from, 'untilMs');
-  const targetIds = listField(from, 'targetIds', id => (typeof id === 'string' ? id : undefined));
+  const targetIds = listField(from, 'targetIds', asString);
   if (fingerprint === undefined || untilMs === undefined || targetIds === undefined) {
     return undefined;
   }
-  return {fingerprint, untilMs, targetIds};
+  // Gateways of earlier versions do not distinguish repeats; they count every lost target.
+  const repeatTargetIds = listField(from, 'repeatTargetIds', asString) ?? targetIds;
+  return {fingerprint, untilMs, targetIds, repeatTargetIds};
+}
+
+function asString(value: unknown): string | undefined {
+  return typeof value === 'string' ? value : undefined;
 }
--- a/packages/gateway/src/poison_tracker.ts
+++ b/packages/gateway/src/poison_tracker.ts
@@ -6,6 +6,7 @@
 import type {PoisonSuspicion} from '@cuminsill/types';
 import type {DecisionLog} from './decision_log';
 import type {GatewayMetrics} from './gateway_metrics';
+import type {SuspectRequest} from './target';
 
 /** What happened to a piece of evidence; written to the log and counted. */
 export type PoisonEvent =
@@ -31,6 +32,16 @@
     return this.guard.isQuarantined(fingerprint);
   }
 
+  /** True if a target went down under the request and no answer has followed. */
+  isSuspected(fingerprint: string): boolean {
+    return this.guard.isSuspected(fingerprint);
+  }
+
+  /** True if one more target that goes down under the request, sent again or not, would quarantine it. */
+  wouldQuarantine(fingerprint: string, isRepeat: boolean): boolean {
+    return this.guard.wouldQuarantine(fingerprint, isRepeat);
+  }
+
   /** Records that a target answered the request. */
   recordAnswered(fingerprint: string, targetId: string, status: number): void {
     const removed = this.guard.recordAnswered(fingerprint, status);
@@ -39,11 +50,15 @@
   }
 
   /** Records that a process of a target ended while it ran the request. */
-  recordLostTarget(fingerprint: string, incarnationId: string): void {
+  recordLostTarget({fingerprint, incarnationId, isRepeat}: SuspectRequest): void {
     const wasQuarantined = this.isQuarantined(fingerprint);
-    const {targetIds: lostTargetIds} = this.guard.recordLostTarget(fingerprint, incarnationId);
+    const {targetIds: lostTargetIds} = this.guard.recordLostTarget(
+      fingerprint,
+      incarnationId,
+      isRepeat,
+    );
     const answeredBefore = this.guard.wasAnswered(fingerprint);
-    this.report('suspected', {fingerprint, lostTargetIds, answeredBefore});
+    this.report('suspected', {fingerprint, lostTargetIds, isRepeat, answeredBefore});
     if (!wasQuarantined) this.reportQuarantine(fingerprint, lostTargetIds, 'own evidence');
   }
 
--- a/packages/gateway/src/record_exchange_end.ts
+++ b/packages/gateway/src/record_exchange_end.ts
@@ -6,11 +6,20 @@
 
 type ExchangeEndOfKind<Kind extends ExchangeEnd['kind']> = Extract<ExchangeEnd, {kind: Kind}>;
 
+/** An attempt at one target, when its exchange has ended. */
+export interface EndedAttempt {
+  readonly placement: Placement;
+  readonly end: ExchangeEnd;
+  readonly elapsedMs: number;
+  /** True if the request was sent after a target was known to have gone down under it. */
+  readonly isRepeat: boolean;
+}
+
 interface ExchangeContext {
   readonly parts: GatewayParts;
   readonly forwarded: ForwardedRequest;
+  readonly attempt: EndedAttempt;
   readonly placement: Placement;
-  readonly elapsedMs: number;
 }
 
 type EndRecorders = {
@@ -41,12 +50,11 @@
 export function recordExchangeEnd(
   parts: GatewayParts,
   forwarded: ForwardedRequest,
-  placement: Placement,
-  end: ExchangeEnd,
-  elapsedMs: number,
+  attempt: EndedAttempt,
 ): void {
+  const {end, placement} = attempt;
   const recordEnd = recorders[end.kind] as (context: ExchangeContext, end: ExchangeEnd) => void;
-  recordEnd({parts, forwarded, placement, elapsedMs}, end);
+  recordEnd({parts, forwarded, attempt, placement}, end);
 }
 
 /** Updates the target's health after this gateway cancelled an exchange: the caller left or another target answered. */
@@ -94,11 +102,11 @@
   else target.health.onFailure(nowMs);
 }
 
-function recordLostConnection({parts, placement, forwarded}: ExchangeContext): void {
+function recordLostConnection({parts, attempt, placement, forwarded}: ExchangeContext): void {
   const {target} = placement;
   target.health.markSuspect(parts.time.monotonicMs());
   // The probe that follows distinguishes a target that is down from one that closed an idle connection.
-  target.addSuspectRequest(forwarded.fingerprint);
+  target.addSuspectRequest(forwarded.fingerprint, attempt.isRepeat);
 }
 
 function recordReports(answer: TargetAnswer, {target}: Placement, nowMs: number): void {
--- a/packages/gateway/src/target.ts
+++ b/packages/gateway/src/target.ts
@@ -15,6 +15,8 @@
   readonly fingerprint: string;
   /** Process of the target that had the request. */
   readonly incarnationId: string;
+  /** True if the request was sent after an earlier loss was known. */
+  readonly isRepeat: boolean;
 }
 
 /** A target with its load, health and recent objects. */
@@ -119,8 +121,8 @@
   }
 
   /** Adds a request whose connection was lost. */
-  addSuspectRequest(fingerprint: string): void {
-    const suspect = {fingerprint, incarnationId: this.incarnationId};
+  addSuspectRequest(fingerprint: string, isRepeat: boolean): void {
+    const suspect = {fingerprint, incarnationId: this.incarnationId, isRepeat};
     this.suspects = [...this.suspects, suspect].slice(-maxSuspectRequests);
   }
 
--- a/packages/gateway/src/target_prober.ts
+++ b/packages/gateway/src/target_prober.ts
@@ -83,9 +83,7 @@
     const {time, poison, log} = this.parts;
     const wasSuspect = target.health.reachability === 'suspect';
     target.health.onConnectFailure(time.monotonicMs());
-    for (const {fingerprint, incarnationId} of target.takeSuspectRequests()) {
-      poison.recordLostTarget(fingerprint, incarnationId);
-    }
+    for (const suspect of target.takeSuspectRequests()) poison.recordLostTarget(suspect);
     if (wasSuspect) log.targetReachability(target.id, 'unreachable', detail);
   }
 
--- a/packages/membership/src/observations.ts
+++ b/packages/membership/src/observations.ts
@@ -47,16 +47,14 @@
   mergeSuspicion(suspicion: PoisonSuspicion, nowMs: number): PoisonSuspicion | undefined {
     if (suspicion.untilMs <= nowMs) return undefined;
     const known = this.suspicions.get(suspicion.fingerprint);
-    const targetIds = [...new Set([...(known?.targetIds ?? []), ...suspicion.targetIds])];
+    const targetIds = unionOf(known?.targetIds, suspicion.targetIds);
+    const repeatTargetIds = unionOf(known?.repeatTargetIds, suspicion.repeatTargetIds);
     const untilMs = Math.max(known?.untilMs ?? 0, suspicion.untilMs);
-    const merged = {
-      fingerprint: suspicion.fingerprint,
-      targetIds: targetIds.slice(0, maxTargetsPerSuspicion),
-      untilMs,
-    };
+    const merged = {fingerprint: suspicion.fingerprint, targetIds, repeatTargetIds, untilMs};
     const isUnchanged =
       known !== undefined &&
       known.targetIds.length === merged.targetIds.length &&
+      known.repeatTargetIds.length === merged.repeatTargetIds.length &&
       known.untilMs === untilMs;
     if (isUnchanged) return undefined;
     if (known === undefined && this.suspicions.size >= maxHeldSuspicions) this.dropEarliestEnding();
@@ -123,3 +121,8 @@
     this.suspicionQueue.remove(fingerprint);
   }
 }
+
+/** Merges two lists of targets, up to the limit of one suspicion. */
+function unionOf(known: readonly string[] = [], added: readonly string[]): readonly string[] {
+  return [...new Set([...known, ...added])].slice(0, maxTargetsPerSuspicion);
+}
--- a/packages/membership/src/wire_conversion.ts
+++ b/packages/membership/src/wire_conversion.ts
@@ -131,6 +131,7 @@
   return create(PoisonSuspicionMessageSchema, {
     fingerprint: suspicion.fingerprint,
     targetIds: [...suspicion.targetIds],
+    repeatTargetIds: [...suspicion.repeatTargetIds],
     untilMs: BigInt(Math.floor(suspicion.untilMs)),
   });
 }
@@ -145,10 +146,17 @@
     message.targetIds.length >= 1 &&
     message.targetIds.length <= maxTargetsPerSuspicion &&
     message.targetIds.every(id => identifierPattern.test(id)) &&
+    message.repeatTargetIds.length <= maxTargetsPerSuspicion &&
+    message.repeatTargetIds.every(id => identifierPattern.test(id)) &&
     message.untilMs <= BigInt(Math.floor(nowMs + maxSuspicionDurationMs));
   if (!isValid) return undefined;
-  const {fingerprint, targetIds} = message;
-  return {fingerprint, targetIds: [...targetIds], untilMs: Number(message.untilMs)};
+  const {fingerprint, targetIds, repeatTargetIds} = message;
+  return {
+    fingerprint,
+    targetIds: [...targetIds],
+    repeatTargetIds: [...repeatTargetIds],
+    untilMs: Number(message.untilMs),
+  };
 }
 
 function parseAddress(host: string, port: number): SocketAddress | undefined {
--- a/packages/planner/src/measure/poison_model.ts
+++ b/packages/planner/src/measure/poison_model.ts
@@ -86,8 +86,9 @@
       return;
     }
     const target = usable[randomBelow(this.random, usable.length)] ?? 0;
+    const isRepeat = this.guards[entry]?.isSuspected(fingerprint) === true;
     this.schedule(this.settings.crashMs, () => {
-      this.loseTarget(entry, target);
+      this.loseTarget(entry, target, isRepeat);
       this.attempt(entry, [...tried, target]);
     });
   }
@@ -98,12 +99,16 @@
     );
   }
 
-  private loseTarget(entry: number, target: number): void {
+  private loseTarget(entry: number, target: number, isRepeat: boolean): void {
     const {gossipDelayMs, restartMs} = this.settings;
     if (!this.lostTargets.has(target)) this.targetsLost += 1;
     this.lostTargets.add(target);
     this.schedule(restartMs, () => this.lostTargets.delete(target));
-    const suspicion = this.guards[entry]?.recordLostTarget(fingerprint, `target-${target}`);
+    const suspicion = this.guards[entry]?.recordLostTarget(
+      fingerprint,
+      `target-${target}`,
+      isRepeat,
+    );
     if (suspicion === undefined) return;
     this.schedule(gossipDelayMs, () =>
       this.guards.forEach(guard => guard.mergeSuspicions([suspicion])),
--- a/packages/steering/src/poison_guard.ts
+++ b/packages/steering/src/poison_guard.ts
@@ -1,23 +1,27 @@
 /**
- * Detects poison requests, which take down the targets that run them, and keeps them away from further targets. After
- * two distinct targets stopped answering while they ran requests with the same fingerprint, such requests are refused
- * for ten minutes. Instances exchange suspicions; the merge is commutative, associative and idempotent as long as the
- * limit on their number is not reached.
+ * Detects poison requests, which take down the targets that run them, and keeps them away from further targets. Such a
+ * request is refused for ten minutes after it has taken down two distinct targets, one of them when it was sent again
+ * after an earlier loss was known. Instances exchange suspicions; the merge is commutative, associative and idempotent as
+ * long as the limit on their number is not reached.
  *
- * A request that was answered recently without a server error does not take down every target that runs it, so it is never refused. Without
- * this rule, the loss of a failure domain would quarantine the most frequent requests, because they are in flight
- * at several targets at that moment.
+ * Targets that go down at the same time count as one loss: when a failure domain is lost, the most frequent requests
+ * are in flight at several of its targets. An answer without a server error removes the losses before it. It does not
+ * outweigh later ones, because a request may begin to crash targets; but it takes three of them then, because a frequent
+ * request may meet two targets of a failing domain one after the other.
  */
 import type {PoisonSuspicion} from '@cuminsill/types';
 import type {TimeSource} from '@cuminsill/utils';
 import type {PoisonDecisions} from './steering_types';
 
-/** How long a suspicion lasts after the last lost target, and how long an answer clears a fingerprint. */
+/** How long a suspicion lasts after the last lost target, and how long an answer is remembered. */
 export const suspicionTtlMs = 600_000;
 
 /** Number of distinct targets that a request must have taken down before it is refused. */
 export const targetsUntilQuarantine = 2;
 
+/** The same for a request that was answered in the last ten minutes. */
+export const targetsUntilQuarantineIfAnswered = 3;
+
 /** Maximum number of suspicions; the one that expires first is evicted first. */
 export const maxFingerprints = 1_000;
 
@@ -27,6 +31,9 @@
 /** Two targets are enough to refuse a request; more are kept for operators, and the limit keeps messages small. */
 const maxTargetsPerSuspicion = 8;
 
+/** One target is enough to tell that a request was sent again. */
+const maxRepeatTargetsPerSuspicion = 4;
+
 const minServerErrorStatus = 500;
 
 /** Suspicions and recently answered fingerprints of one instance. */
@@ -39,21 +46,36 @@
 
   /** True if requests with this fingerprint must be refused. */
   isQuarantined(fingerprint: string): boolean {
-    if (this.wasAnswered(fingerprint)) return false;
-    const suspicion = this.suspicionsByFingerprint.get(fingerprint);
-    if (suspicion === undefined || suspicion.untilMs <= this.time.nowMs()) return false;
-    return suspicion.targetIds.length >= targetsUntilQuarantine;
+    const suspicion = this.suspicionOf(fingerprint);
+    if (suspicion === undefined || suspicion.repeatTargetIds.length === 0) return false;
+    return lostTargetCount(suspicion) >= this.targetLimit(fingerprint);
+  }
+
+  /**
+   * True if one more lost target would quarantine the request.
+   * @param isRepeat True if the request was sent to that target after an earlier loss was known.
+   */
+  wouldQuarantine(fingerprint: string, isRepeat: boolean): boolean {
+    const suspicion = this.suspicionOf(fingerprint);
+    if (suspicion === undefined) return false;
+    if (!isRepeat && suspicion.repeatTargetIds.length === 0) return false;
+    return lostTargetCount(suspicion) + 1 >= this.targetLimit(fingerprint);
   }
 
-  /** True if a target answered the request in the last ten minutes, so that it is not refused. */
+  /** True if a target went down under the request and no answer has followed. */
+  isSuspected(fingerprint: string): boolean {
+    return this.suspicionOf(fingerprint) !== undefined;
+  }
+
+  /** True if a target answered the request in the last ten minutes. */
   wasAnswered(fingerprint: string): boolean {
     const answeredAtMs = this.answeredAtMsByFingerprint.get(fingerprint);
     return answeredAtMs !== undefined && this.time.nowMs() - answeredAtMs < suspicionTtlMs;
   }
 
   /**
-   * Records that a target answered the request; removes its suspicion and ignores new ones for ten minutes. Returns the
-   * removed suspicion. A server error changes nothing: the target may have failed before it got as far as other targets.
+   * Records that a target answered the request, which removes and returns its suspicion. A server error changes nothing:
+   * the target may have failed before it got as far as other targets.
    */
   recordAnswered(fingerprint: string, status: number): PoisonSuspicion | undefined {
     if (status >= minServerErrorStatus) return undefined;
@@ -66,20 +88,28 @@
     return removed;
   }
 
-  /** Records that a target stopped answering while it ran the request. Returns the suspicion to share. */
-  recordLostTarget(fingerprint: string, targetId: string): PoisonSuspicion {
+  /**
+   * Records that a target stopped answering while it ran the request. Returns the suspicion to share.
+   * @param isRepeat True if the request was sent after an earlier loss was known.
+   */
+  recordLostTarget(fingerprint: string, targetId: string, isRepeat: boolean): PoisonSuspicion {
     const untilMs = this.time.nowMs() + suspicionTtlMs;
-    const merged = this.mergeSuspicion({fingerprint, targetIds: [targetId], untilMs});
+    const targetIds = [targetId];
+    const repeatTargetIds = isRepeat ? targetIds : [];
+    const merged = this.mergeSuspicion({fingerprint, targetIds, repeatTargetIds, untilMs});
     this.evictOldest();
     return merged;
   }
 
-  /** Merges the suspicions of other instances. Expired suspicions and those without a target are ignored. */
+  /**
+   * Merges the suspicions of other instances. Ignores expired suspicions, those without a target and those whose last loss
+   * is older than an answer that this instance has seen.
+   */
   mergeSuspicions(suspicions: readonly PoisonSuspicion[]): void {
     const nowMs = this.time.nowMs();
     for (const suspicion of suspicions) {
       if (suspicion.untilMs <= nowMs || suspicion.targetIds.length === 0) continue;
-      if (this.wasAnswered(suspicion.fingerprint)) continue;
+      if (this.isAnsweredSince(suspicion)) continue;
       // A peer whose clock is ahead must not extend a quarantine beyond ten minutes from now.
       const untilMs = Math.min(suspicion.untilMs, nowMs + suspicionTtlMs);
       this.mergeSuspicion({...suspicion, untilMs});
@@ -95,14 +125,35 @@
     );
   }
 
+  /** The suspicion of a fingerprint, unless it has expired. */
+  private suspicionOf(fingerprint: string): PoisonSuspicion | undefined {
+    const suspicion = this.suspicionsByFingerprint.get(fingerprint);
+    return suspicion !== undefined && suspicion.untilMs > this.time.nowMs() ? suspicion : undefined;
+  }
+
+  private targetLimit(fingerprint: string): number {
+    return this.wasAnswered(fingerprint)
+      ? targetsUntilQuarantineIfAnswered
+      : targetsUntilQuarantine;
+  }
+
+  private isAnsweredSince({fingerprint, untilMs}: PoisonSuspicion): boolean {
+    const lastLossAtMs = untilMs - suspicionTtlMs;
+    const answeredAtMs = this.answeredAtMsByFingerprint.get(fingerprint);
+    return answeredAtMs !== undefined && answeredAtMs >= lastLossAtMs;
+  }
+
   private mergeSuspicion(added: PoisonSuspicion): PoisonSuspicion {
     const {fingerprint} = added;
-    const stored = this.suspicionsByFingerprint.get(fingerprint);
-    const current = stored !== undefined && stored.untilMs > this.time.nowMs() ? stored : undefined;
-    const targetIds = [...new Set([...(current?.targetIds ?? []), ...added.targetIds])];
+    const current = this.suspicionOf(fingerprint);
     const merged: PoisonSuspicion = {
       fingerprint,
-      targetIds: targetIds.sort().slice(0, maxTargetsPerSuspicion),
+      targetIds: unionOf(current?.targetIds, added.targetIds, maxTargetsPerSuspicion),
+      repeatTargetIds: unionOf(
+        current?.repeatTargetIds,
+        added.repeatTargetIds,
+        maxRepeatTargetsPerSuspicion,
+      ),
       untilMs: Math.max(current?.untilMs ?? 0, added.untilMs),
     };
     this.suspicionsByFingerprint.set(fingerprint, merged);
@@ -135,3 +186,16 @@
     }
   }
 }
+
+function lostTargetCount({targetIds, repeatTargetIds}: PoisonSuspicion): number {
+  return new Set([...targetIds, ...repeatTargetIds]).size;
+}
+
+/** Merges two lists of targets; keeps the first ones in the order of their ids, so that all instances keep the same. */
+function unionOf(
+  current: readonly string[] = [],
+  added: readonly string[],
+  maxCount: number,
+): readonly string[] {
+  return [...new Set([...current, ...added])].sort().slice(0, maxCount);
+}
--- a/packages/steering/src/steering_types.ts
+++ b/packages/steering/src/steering_types.ts
@@ -125,13 +125,20 @@
 /** Detects poison requests, which are refused because they took targets down. */
 export interface PoisonDecisions {
   isQuarantined(fingerprint: string): boolean;
+  /** True if one more target that goes down under the request, sent again or not, would quarantine it. */
+  wouldQuarantine(fingerprint: string, isRepeat: boolean): boolean;
+  /** True if a target went down under the request and no answer has followed. */
+  isSuspected(fingerprint: string): boolean;
   /**
-   * Records that a target answered the request. Unless the answer is a server error, the request does not take down every
-   * target that runs it. Returns the suspicion that this removed.
+   * Records that a target answered the request. Unless the answer is a server error, it removes the suspicion, which is
+   * returned.
    */
   recordAnswered(fingerprint: string, status: number): PoisonSuspicion | undefined;
-  /** Records that a target stopped answering while it ran the request. Returns the suspicion to share. */
-  recordLostTarget(fingerprint: string, targetId: string): PoisonSuspicion;
+  /**
+   * Records that a target stopped answering while it ran the request. Returns the suspicion to share.
+   * @param isRepeat True if the request was sent after an earlier loss was known.
+   */
+  recordLostTarget(fingerprint: string, targetId: string, isRepeat: boolean): PoisonSuspicion;
   mergeSuspicions(suspicions: readonly PoisonSuspicion[]): void;
   suspicions(): readonly PoisonSuspicion[];
 }
--- a/packages/types/src/reports.ts
+++ b/packages/types/src/reports.ts
@@ -22,6 +22,8 @@
   readonly fingerprint: string;
   /** Targets that went down; each start of a target counts, where its starts are known. */
   readonly targetIds: readonly string[];
+  /** Those of them that went down under a request that was sent after an earlier loss was known. */
+  readonly repeatTargetIds: readonly string[];
   /** When the suspicion expires, in milliseconds since the Unix epoch. */
   readonly untilMs: number;
 }
