--- a/packages/steering/__tests__/poison_guard.test.ts
+++ b/packages/steering/__tests__/poison_guard.test.ts
@@ -229,10 +229,11 @@
       time.advance(1);
       const untilMs = time.nowMs() + suspicionTtlMs;
       if (source === 'recorded') guard.recordLostTarget(`f${n}`, 't1', true);
-      else
+      else {
         guard.mergeSuspicions([
           {fingerprint: `f${n}`, targetIds: ['t1'], repeatTargetIds: [], untilMs},
         ]);
+      }
     }
     const kept = new Set(guard.suspicions().map(entry => entry.fingerprint));
     expect(kept.size).toBe(maxFingerprints);
