Notice that a target has crashed when it starts again faster than a probe

Callers would see one request crash targets that a supervisor restarts within milliseconds, time after time: the loss of the connection was discarded as soon as a probe connected, and the probe had reached the next process.

A probe that connects proves nothing now. A lost connection stays open as evidence for five seconds. A process that crashes again before its record changes counts again.

Requests whose connections are lost at targets that stay up are still not refused.

--- a/packages/gateway/__tests__/poison_tracker.test.ts
+++ b/packages/gateway/__tests__/poison_tracker.test.ts
@@ -3,7 +3,7 @@
 import {DecisionLog} from '../src/decision_log';
 import {GatewayMetrics} from '../src/gateway_metrics';
 import {PoisonTracker} from '../src/poison_tracker';
-import type {SuspectRequest} from '../src/target';
+import type {SuspectRequest} from '../src/pending_losses';
 
 type Line = Readonly<Record<string, unknown>>;
 
@@ -89,10 +89,10 @@
     lastLine: {answeredBefore: true},
   },
   {
-    name: 'a loss at a target that accepts connections',
+    name: 'a loss at a target whose process has not ended',
     act: tracker => tracker.recordDiscardedLoss('f', 'i-1'),
     events: ['loss-discarded'],
-    lastLine: {targetId: 'i-1', reason: 'probe connected'},
+    lastLine: {targetId: 'i-1', reason: 'no sign of a restart'},
   },
 ];
 
--- a/packages/gateway/src/forwarding.ts
+++ b/packages/gateway/src/forwarding.ts
@@ -249,6 +249,7 @@
     return Effect.suspend(() => {
       const startedAtMs = parts.time.monotonicMs();
       const isRepeat = record.lostCount > 0 || parts.poison.isSuspected(forwarded.fingerprint);
+      const attempt = {placement, incarnationId: target.incarnationId, isRepeat};
       this.lastPlacement = placement;
       record.recordStart(target.id);
       target.load.recordStart();
@@ -263,10 +264,13 @@
         remainingMs: Math.floor(this.remainingMs()),
         connectTimeoutMs: parts.roundTripTimes.expectedMs(target.failureDomain) + connectMarginMs,
         isAtMostOnce: forwarded.route.repeat === 'at-most-once',
-        onConnected: connectMs => parts.roundTripTimes.observe(target.failureDomain, connectMs),
+        onConnected: (socket, connectMs) => {
+          parts.roundTripTimes.observe(target.failureDomain, connectMs);
+          parts.connectionHistory.onOpened(target.id, socket);
+        },
       }).pipe(
         Effect.tap(end =>
-          Effect.sync(() => this.recordEnd({placement, end, elapsedMs: elapsedMs(), isRepeat})),
+          Effect.sync(() => this.recordEnd({...attempt, end, elapsedMs: elapsedMs()})),
         ),
         Effect.onInterrupt(() =>
           Effect.sync(() => {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -11,6 +11,7 @@
 import {Effect, Fiber} from 'effect';
 import {BoundedLogStream} from './bounded_log_stream';
 import {CallerServer} from './caller_server';
+import {ConnectionHistory} from './connection_history';
 import {ConfigurationView} from './configuration_view';
 import type {LogOutput} from './decision_log';
 import {DecisionLog} from './decision_log';
@@ -29,6 +30,7 @@
 import type {PeerMessage} from './peer_message';
 import type {PeerState} from './peer_table';
 import {PeerTable} from './peer_table';
+import {PendingLosses} from './pending_losses';
 import {PoisonTracker} from './poison_tracker';
 import type {RetryLimit} from './retry_budget';
 import {RetryBudget} from './retry_budget';
@@ -160,6 +162,9 @@
     const log = new DecisionLog(name, time, this.logOutput);
     const metrics = new GatewayMetrics();
     const peers = new PeerTable(this.ownRecord, time);
+    const poison = new PoisonTracker(new PoisonGuard(time), log, metrics);
+    const connectionHistory = new ConnectionHistory(time);
+    const pendingLosses = new PendingLosses(poison, connectionHistory, time);
     return {
       settings,
       requestWire: this.ports.requestWire,
@@ -170,6 +175,8 @@
       }),
       targets: new TargetDirectory(regions, time, (event, targetId, record) => {
         log.event('target', {event, targetId, service: record?.service});
+        const isNewProcess = event === 'added' || event === 'restarted';
+        if (isNewProcess && record !== undefined) pendingLosses.onProcessRegistered(record);
       }),
       evacuations: new EvacuationView((failureDomain, evacuated) => {
         log.event('evacuation', {failureDomain, evacuated});
@@ -184,7 +191,9 @@
         () => peers.listedGatewayCount(),
       ),
       connections: new TargetConnections(),
-      poison: new PoisonTracker(new PoisonGuard(time), log, metrics),
+      connectionHistory,
+      poison,
+      pendingLosses,
       log,
       metrics,
       storeAgeMs: () => this.storeAgeMs(),
--- a/packages/gateway/src/gateway_parts.ts
+++ b/packages/gateway/src/gateway_parts.ts
@@ -1,5 +1,6 @@
 /** The parts of a gateway that handle requests and are shared between its modules. */
 import type {TimeSource} from '@cuminsill/utils';
+import type {ConnectionHistory} from './connection_history';
 import type {ConfigurationView} from './configuration_view';
 import type {DecisionLog} from './decision_log';
 import type {EvacuationView} from './evacuation_view';
@@ -7,6 +8,7 @@
 import type {CurrentSettings} from './gateway_settings';
 import type {RoundTripTimes} from './round_trip_times';
 import type {PeerTable} from './peer_table';
+import type {PendingLosses} from './pending_losses';
 import type {PoisonTracker} from './poison_tracker';
 import type {RequestWire} from './request_wire';
 import type {RetryBudget} from './retry_budget';
@@ -29,7 +31,9 @@
   readonly roundTripTimes: RoundTripTimes;
   readonly retryBudget: RetryBudget;
   readonly connections: TargetConnections;
+  readonly connectionHistory: ConnectionHistory;
   readonly poison: PoisonTracker;
+  readonly pendingLosses: PendingLosses;
   readonly log: DecisionLog;
   readonly metrics: GatewayMetrics;
   /** Time since the last answer of the store, in milliseconds; undefined before the first answer. */
--- /dev/null
+++ b/packages/gateway/src/pending_losses.ts
@@ -0,0 +1,149 @@
+/**
+ * Lost connections for which it is open whether the target's process ended or only the connection. A process has ended
+ * when a probe finds no one at its address, when another process registers or answers there, when the target registers
+ * again with a later start, or when all connections to it close together. A probe that connects proves nothing: a
+ * supervisor may have started the process again within milliseconds.
+ */
+import type {SocketAddress} from '@cuminsill/types';
+import type {TimeSource} from '@cuminsill/utils';
+import {closeSpreadMs} from './connection_history';
+import type {TargetRecord} from './gateway_types';
+import {incarnationIdOf} from './target';
+
+/** A request that may have crashed the target that had it. */
+export interface SuspectRequest {
+  readonly fingerprint: string;
+  /** Process of the target that had the request. */
+  readonly incarnationId: string;
+  /** True if the request was sent after an earlier loss was known. */
+  readonly isRepeat: boolean;
+}
+
+/** A connection that was lost while the target had a request. */
+export interface LostConnection extends SuspectRequest {
+  readonly targetId: string;
+  readonly address: SocketAddress;
+}
+
+/** Receives what became of the lost connections. */
+export interface LossListener {
+  /** The process that had the request has ended. */
+  recordLostTarget(suspect: SuspectRequest): void;
+  /** Nothing shows that the process has ended. */
+  recordDiscardedLoss(fingerprint: string, targetId: string): void;
+}
+
+interface PendingLoss extends LostConnection {
+  readonly lostAtMs: number;
+}
+
+/** Tells whether all connections to a target closed at the time when one of them was lost. */
+export interface ClosedConnections {
+  closedTogether(targetId: string, lostAtMs: number): boolean;
+}
+
+/** A process that starts again has registered within this time. */
+export const processEndNoticeMs = 5_000;
+/** Bounds memory when many connections are lost at once; the oldest loss is discarded first. */
+const maxPendingLosses = 1_000;
+const maxEndsPerIncarnation = 16;
+
+/** The losses of one gateway that are neither confirmed nor discarded. */
+export class PendingLosses {
+  private pending: readonly PendingLoss[] = [];
+  /** When the connections to a process closed together, by its incarnation id as far as it is registered. */
+  private readonly endTimesMs = new Map<string, readonly number[]>();
+
+  constructor(
+    private readonly listener: LossListener,
+    private readonly connections: ClosedConnections,
+    private readonly time: TimeSource,
+  ) {}
+
+  /**
+   * Adds a lost connection.
+   * @param incarnationId Process that now has the target's id, if it is known.
+   */
+  add(loss: LostConnection, incarnationId: string): void {
+    if (incarnationId !== loss.incarnationId) {
+      this.listener.recordLostTarget(loss);
+      return;
+    }
+    const lostAtMs = this.time.monotonicMs();
+    this.pending = [...this.pending, {...loss, lostAtMs}];
+    if (this.pending.length > maxPendingLosses) this.discardOldest();
+  }
+
+  /** Confirms the losses at a target whose process has ended. */
+  onProcessEnded(targetId: string): void {
+    this.confirm(loss => loss.targetId === targetId);
+  }
+
+  /** Confirms the losses at the address of a process that has just registered. */
+  onProcessRegistered(record: TargetRecord): void {
+    const {host, port} = record.address;
+    const incarnationId = incarnationIdOf(record);
+    this.confirm(
+      loss =>
+        loss.address.host === host &&
+        loss.address.port === port &&
+        loss.incarnationId !== incarnationId,
+    );
+  }
+
+  /** Confirms the losses at targets whose connections closed together; discards those that nothing confirmed in time. */
+  review(): void {
+    if (this.pending.length === 0) return;
+    const nowMs = this.time.monotonicMs();
+    const ended = this.take(
+      ({targetId, lostAtMs}) =>
+        nowMs - lostAtMs >= closeSpreadMs && this.connections.closedTogether(targetId, lostAtMs),
+    );
+    for (const loss of ended) this.confirmEnded(loss);
+    this.discard(({lostAtMs}) => nowMs - lostAtMs >= processEndNoticeMs);
+  }
+
+  /**
+   * Confirms a loss, and distinguishes the process from the next one under the same record: a process that starts again
+   * at once may crash several times before its record tells of the first start.
+   */
+  private confirmEnded(loss: PendingLoss): void {
+    const {incarnationId, lostAtMs} = loss;
+    const endTimesMs = this.endTimesMs.get(incarnationId) ?? [];
+    const earlierEnds = endTimesMs.filter(endMs => lostAtMs - endMs > closeSpreadMs).length;
+    if (earlierEnds === endTimesMs.length) this.recordEnd(incarnationId, lostAtMs);
+    const suffix = earlierEnds === 0 ? '' : `+${earlierEnds}`;
+    this.listener.recordLostTarget({...loss, incarnationId: `${incarnationId}${suffix}`});
+  }
+
+  private recordEnd(incarnationId: string, endMs: number): void {
+    const endTimesMs = this.endTimesMs.get(incarnationId) ?? [];
+    // Deleting first moves the id to the end, so that the one that ended longest ago is evicted first.
+    this.endTimesMs.delete(incarnationId);
+    this.endTimesMs.set(incarnationId, [...endTimesMs, endMs].slice(-maxEndsPerIncarnation));
+    if (this.endTimesMs.size <= maxPendingLosses) return;
+    const [oldest] = this.endTimesMs.keys();
+    if (oldest !== undefined) this.endTimesMs.delete(oldest);
+  }
+
+  private discardOldest(): void {
+    const [oldest] = this.pending;
+    this.discard(loss => loss === oldest);
+  }
+
+  private confirm(isConfirmed: (loss: PendingLoss) => boolean): void {
+    for (const loss of this.take(isConfirmed)) this.listener.recordLostTarget(loss);
+  }
+
+  private discard(isDiscarded: (loss: PendingLoss) => boolean): void {
+    for (const {fingerprint, targetId} of this.take(isDiscarded)) {
+      this.listener.recordDiscardedLoss(fingerprint, targetId);
+    }
+  }
+
+  private take(isTaken: (loss: PendingLoss) => boolean): readonly PendingLoss[] {
+    const taken = this.pending.filter(isTaken);
+    if (taken.length > 0) this.pending = this.pending.filter(loss => !isTaken(loss));
+    return taken;
+  }
+}
--- a/packages/gateway/src/poison_tracker.ts
+++ b/packages/gateway/src/poison_tracker.ts
@@ -6,13 +6,13 @@
 import type {PoisonSuspicion} from '@cuminsill/types';
 import type {DecisionLog} from './decision_log';
 import type {GatewayMetrics} from './gateway_metrics';
-import type {SuspectRequest} from './target';
+import type {SuspectRequest} from './pending_losses';
 
 /** What happened to a piece of evidence; written to the log and counted. */
 export type PoisonEvent =
   /** A target went down while it ran the request. */
   | 'suspected'
-  /** The evidence was discarded, because the target accepts connections. */
+  /** The evidence was discarded, because nothing shows that the target's process has ended. */
   | 'loss-discarded'
   /** An answer removed the suspicion. */
   | 'cleared'
@@ -62,9 +62,9 @@
     if (!wasQuarantined) this.reportQuarantine(fingerprint, lostTargetIds, 'own evidence');
   }
 
-  /** Records that evidence was discarded, because the target accepts connections. */
+  /** Records that evidence was discarded, because nothing shows that the target's process has ended. */
   recordDiscardedLoss(fingerprint: string, targetId: string): void {
-    this.report('loss-discarded', {fingerprint, targetId, reason: 'probe connected'});
+    this.report('loss-discarded', {fingerprint, targetId, reason: 'no sign of a restart'});
   }
 
   /** Merges the suspicions of another gateway. */
--- a/packages/gateway/src/record_exchange_end.ts
+++ b/packages/gateway/src/record_exchange_end.ts
@@ -11,6 +11,8 @@
   readonly placement: Placement;
   readonly end: ExchangeEnd;
   readonly elapsedMs: number;
+  /** Process of the target to which the request was sent. */
+  readonly incarnationId: string;
   /** True if the request was sent after a target was known to have gone down under it. */
   readonly isRepeat: boolean;
 }
@@ -98,15 +100,24 @@
   const {target} = placement;
   const nowMs = parts.time.monotonicMs();
   recordReports(end.answer, placement, nowMs);
-  if (end.answer.head.wrongTarget) target.markWrongAddress();
-  else target.health.onFailure(nowMs);
+  if (!end.answer.head.wrongTarget) {
+    target.health.onFailure(nowMs);
+    return;
+  }
+  target.markWrongAddress();
+  parts.pendingLosses.onProcessEnded(target.id);
 }
 
 function recordLostConnection({parts, attempt, placement, forwarded}: ExchangeContext): void {
   const {target} = placement;
   target.health.markSuspect(parts.time.monotonicMs());
-  // The probe that follows distinguishes a target that is down from one that closed an idle connection.
-  target.addSuspectRequest(forwarded.fingerprint, attempt.isRepeat);
+  const {incarnationId, isRepeat} = attempt;
+  const {fingerprint} = forwarded;
+  const {id: targetId, address} = target;
+  parts.pendingLosses.add(
+    {fingerprint, incarnationId, isRepeat, targetId, address},
+    target.incarnationId,
+  );
 }
 
 function recordReports(answer: TargetAnswer, {target}: Placement, nowMs: number): void {
--- a/packages/gateway/src/target.ts
+++ b/packages/gateway/src/target.ts
@@ -7,16 +7,9 @@
 import {TargetLoad} from './target_load';
 import {TargetHealth} from './target_health';
 
-/** Maximum number of requests kept as possible causes of a crash; a target runs only a few at once. */
-const maxSuspectRequests = 16;
-
-/** A request whose connection to a target was lost; if the target turns out to be down, the request may be the cause. */
-export interface SuspectRequest {
-  readonly fingerprint: string;
-  /** Process of the target that had the request. */
-  readonly incarnationId: string;
-  /** True if the request was sent after an earlier loss was known. */
-  readonly isRepeat: boolean;
+/** Identifies a target's process: a target may start again under the id that it had. */
+export function incarnationIdOf({id, startedAtMs}: TargetRecord): string {
+  return `${id}@${startedAtMs}`;
 }
 
 /** A target with its load, health and recent objects. */
@@ -32,7 +25,6 @@
   private isRemoved = false;
   private isUnlisted = false;
   private hasWrongAddress = false;
-  private suspects: readonly SuspectRequest[] = [];
 
   constructor(
     record: TargetRecord,
@@ -53,9 +45,9 @@
     return this.currentRecord.id;
   }
 
-  /** Identifies the target's process: a target may start again under the id that it had. */
+  /** Identifies the target's process. */
   get incarnationId(): string {
-    return `${this.id}@${this.currentRecord.startedAtMs}`;
+    return incarnationIdOf(this.currentRecord);
   }
 
   get service(): string {
@@ -120,19 +112,6 @@
     this.hasWrongAddress = true;
   }
 
-  /** Adds a request whose connection was lost. */
-  addSuspectRequest(fingerprint: string, isRepeat: boolean): void {
-    const suspect = {fingerprint, incarnationId: this.incarnationId, isRepeat};
-    this.suspects = [...this.suspects, suspect].slice(-maxSuspectRequests);
-  }
-
-  /** Returns and clears the suspect requests. */
-  takeSuspectRequests(): readonly SuspectRequest[] {
-    const taken = this.suspects;
-    this.suspects = [];
-    return taken;
-  }
-
   /** Marks the target as no longer listed. */
   markRemoved(): void {
     this.isRemoved = true;
--- a/packages/gateway/src/target_exchange.ts
+++ b/packages/gateway/src/target_exchange.ts
@@ -6,6 +6,7 @@
  * another target's answer.
  */
 import * as http from 'node:http';
+import type {Socket} from 'node:net';
 import type {TimeSource} from '@cuminsill/utils';
 import {Effect} from 'effect';
 import type {CallerRequest} from './caller_request';
@@ -51,8 +52,8 @@
   /** Timeout of establishing a connection. */
   readonly connectTimeoutMs: number;
   readonly isAtMostOnce: boolean;
-  /** Called with the time that establishing a connection took. */
-  readonly onConnected: (connectMs: number) => void;
+  /** Called with a new connection and the time that establishing it took. */
+  readonly onConnected: (socket: Socket, connectMs: number) => void;
 }
 
 /** Larger answers are not read. Pages and reports stay below this size. */
@@ -135,8 +136,8 @@
     connections.closeIdle(target.id, target.address, maxIdleForAtMostOnceMs);
   }
 
-  private onSocket(socket: NodeJS.Socket & {connecting?: boolean}): void {
-    if (socket.connecting !== true) {
+  private onSocket(socket: Socket): void {
+    if (!socket.connecting) {
       this.isConnected = true;
       return;
     }
@@ -147,7 +148,7 @@
     socket.once('connect', () => {
       clearTimeout(this.connectTimer);
       this.isConnected = true;
-      this.exchange.onConnected(this.exchange.time.monotonicMs() - this.startedAtMs);
+      this.exchange.onConnected(socket, this.exchange.time.monotonicMs() - this.startedAtMs);
     });
   }
 
--- a/packages/gateway/src/target_prober.ts
+++ b/packages/gateway/src/target_prober.ts
@@ -32,8 +32,9 @@
     clearInterval(this.timer);
   }
 
-  /** Starts the probes that are due. */
+  /** Starts the probes that are due, and reviews the lost connections. */
   startDueProbes(): void {
+    this.parts.pendingLosses.review();
     const nowMs = this.parts.time.monotonicMs();
     for (const target of this.parts.targets.all()) {
       if (!target.isAssignable) continue;
@@ -80,17 +81,14 @@
   }
 
   private onProbeFailed(target: Target, detail: string): void {
-    const {time, poison, log} = this.parts;
+    const {time, pendingLosses, log} = this.parts;
     const wasSuspect = target.health.reachability === 'suspect';
     target.health.onConnectFailure(time.monotonicMs());
-    for (const suspect of target.takeSuspectRequests()) poison.recordLostTarget(suspect);
+    pendingLosses.onProcessEnded(target.id);
     if (wasSuspect) log.targetReachability(target.id, 'unreachable', detail);
   }
 
   private onProbeConnected(target: Target): void {
-    for (const {fingerprint} of target.takeSuspectRequests()) {
-      this.parts.poison.recordDiscardedLoss(fingerprint, target.id);
-    }
     if (!target.health.onProbeConnected()) return;
     const nowMs = this.parts.time.monotonicMs();
     const {configuration} = this.parts;
