--- a/packages/standins/src/users_platform/endpoint_server.ts
+++ b/packages/standins/src/users_platform/endpoint_server.ts
@@ -69,6 +69,8 @@
 export class EndpointServer {
   mode: AnswerMode = 'normal';
   coldMs = 0;
+  /** Requests per second that the endpoint names in its answers as its limit; it takes more all the same. */
+  limitPerS: number | undefined;
   draining = false;
   /** Requests that started to run, in order. */
   readonly executedRequests: ExecutedRequest[] = [];
@@ -231,6 +233,7 @@
       'Not-Executed': '1',
       'Instance-Id': this.endpoint.options.id,
       'Server-Load': this.endpoint.serverLoad(),
+      ...this.limitHeader(),
       'Content-Length': 0,
     });
     this.response.end();
@@ -278,9 +281,15 @@
       'Response-Stamp': `stamp-${this.endpoint.options.id}`,
       'Server-Load': this.endpoint.serverLoad(),
       ...(coldMs > 0 ? {'Cold-Ms': String(coldMs)} : {}),
+      ...this.limitHeader(),
     };
   }
 
+  private limitHeader(): Record<string, string> {
+    const {limitPerS} = this.endpoint;
+    return limitPerS === undefined ? {} : {'Server-Limit': limitPerS.toFixed(1)};
+  }
+
   private requestId(): string {
     return requestIdOf(this.request);
   }
