Move the selection of the gateways that send to a target into a module of its own

The selection by rendezvous hashing serves cold targets. The limit that a target names needs the same one. No change of behaviour; the tests of cold targets and of placement pass.

--- a/packages/gateway/src/cold_target_limiter.ts
+++ b/packages/gateway/src/cold_target_limiter.ts
@@ -1,8 +1,8 @@
 /**
- * Keeps the total rate of requests from all gateways to a cold target below the rate that it can take. Gateways do not
- * coordinate: rendezvous hashing selects the same few senders at every gateway, and each sender spaces its requests.
+ * Keeps the total rate of requests from all gateways to a cold target below the rate that it can take. A few gateways
+ * are selected as senders, and each sender spaces its requests.
  */
-import {hash32} from '@cuminsill/utils';
+import {isAmongSenders, SenderSelection} from './sender_selection';
 
 /** Limit on the requests to a cold target. */
 export interface ColdLimit {
@@ -31,27 +31,13 @@
   gatewayName: string,
   gatewayNames: readonly string[],
 ): boolean {
-  const senders = coldSenderCount(limit);
-  if (gatewayNames.length <= senders) return true;
-  const ownRank = hash32(`${gatewayName}/${targetId}`);
-  let higherRankedCount = 0;
-  for (const name of gatewayNames) {
-    if (name !== gatewayName && hash32(`${name}/${targetId}`) > ownRank) higherRankedCount += 1;
-  }
-  return higherRankedCount < senders;
-}
-
-/** Cached result of `isColdSender` and its inputs. */
-interface SenderDecision {
-  readonly senders: number;
-  readonly gatewayNames: readonly string[];
-  readonly isSender: boolean;
+  return isAmongSenders(coldSenderCount(limit), targetId, gatewayName, gatewayNames);
 }
 
 /** Limits the requests of one gateway to one cold target. */
 export class ColdTargetLimiter {
   private lastSentAtMs = Number.NEGATIVE_INFINITY;
-  private cached: SenderDecision | undefined;
+  private readonly selection = new SenderSelection();
 
   /** Same as `isColdSender`, recomputed only when the limit or the list of gateways changes. */
   isSender(
@@ -60,12 +46,7 @@
     gatewayName: string,
     gatewayNames: readonly string[],
   ): boolean {
-    const senders = coldSenderCount(limit);
-    const {cached} = this;
-    if (cached?.senders === senders && cached.gatewayNames === gatewayNames) return cached.isSender;
-    const isSender = isColdSender(limit, targetId, gatewayName, gatewayNames);
-    this.cached = {senders, gatewayNames, isSender};
-    return isSender;
+    return this.selection.isSender(coldSenderCount(limit), targetId, gatewayName, gatewayNames);
   }
 
   /** True when the minimum interval since the last request has passed. */
