Keep to the limit that a target names in its answers

Cause: no code read the limit. The adapter decodes it now, and placement leaves out a target while this gateway has used up its part of the rate. Gateways divide the rate without talking: each spaces its requests by the number of gateways over the rate. With more gateways than about one and a half times the rate, a few ranked ones get 80% of it, and the others share the rest one after the other, which is how they learn of the end. An answer to a request that ran, sent after the limit was last named, ends it; so does a new process.

With 1 to 300 gateways that always have requests, rates of 0 to 20 a second and different delays, every window of 4 s stays within the rule, and more than half of the rate is used (target_rate_limiter.test.ts).

--- /dev/null
+++ b/packages/gateway/__tests__/target_rate_limiter.test.ts
@@ -0,0 +1,89 @@
+import {randomBelow, seededRandom} from '@cuminsill/utils';
+import {TargetRateLimiter} from '../src/target_rate_limiter';
+
+const windowMs = 4_000;
+const durationMs = 120_000;
+const stepMs = 10;
+/** Gateways learn of the limit within this time of each other, each from an answer of its own. */
+const maxNamedAfterMs = 400;
+/** Difference between the network delays of requests. */
+const maxDelayMs = 110;
+
+function allowedInWindow(requestsPerS: number): number {
+  return 1.5 * requestsPerS * (windowMs / 1_000) + 5;
+}
+
+/** Returns when requests reach the target while every gateway has requests for it all the time. */
+function arrivalTimes(gatewayCount: number, requestsPerS: number): readonly number[] {
+  const random = seededRandom(gatewayCount);
+  const gatewayNames = Array.from({length: gatewayCount}, (_value, index) => `g-${index}`);
+  const arrivals = gatewayNames.flatMap(ownName => {
+    const limiter = new TargetRateLimiter();
+    const namedAtMs = randomBelow(random, maxNamedAfterMs);
+    limiter.recordNamed(requestsPerS, namedAtMs);
+    const own: number[] = [];
+    for (let nowMs = namedAtMs; nowMs < durationMs; nowMs += stepMs) {
+      if (!limiter.maySend('t-1', {nowMs, ownName, gatewayNames})) continue;
+      limiter.recordSend(nowMs);
+      own.push(nowMs + randomBelow(random, maxDelayMs));
+    }
+    return own;
+  });
+  return arrivals.sort((a, b) => a - b);
+}
+
+function maxInWindow(sortedMs: readonly number[]): number {
+  let first = 0;
+  let max = 0;
+  sortedMs.forEach((atMs, index) => {
+    while (atMs - (sortedMs[first] ?? 0) > windowMs) first += 1;
+    max = Math.max(max, index - first + 1);
+  });
+  return max;
+}
+
+const cases = [1, 3, 10, 48, 87, 143, 300].flatMap(gatewayCount =>
+  [0, 0.5, 1, 3.5, 7.3, 20].map(requestsPerS => ({gatewayCount, requestsPerS})),
+);
+
+/**
+ * Guards against gateways that keep to a limit one by one and exceed it together, and against a limited target that is not
+ * used at all.
+ */
+test.each(cases)('$gatewayCount gateways share $requestsPerS/s', ({gatewayCount, requestsPerS}) => {
+  const arrivals = arrivalTimes(gatewayCount, requestsPerS);
+  expect(maxInWindow(arrivals)).toBeLessThanOrEqual(allowedInWindow(requestsPerS));
+  const expectedCount = (requestsPerS * durationMs) / 1_000;
+  expect(arrivals.length).toBeGreaterThan(expectedCount / 2);
+  expect(arrivals.length).toBeLessThanOrEqual(Math.max(expectedCount, 60));
+});
+
+interface NamingCase {
+  readonly name: string;
+  readonly act: (limiter: TargetRateLimiter) => void;
+  readonly expected: number | undefined;
+}
+
+const namingCases: readonly NamingCase[] = [
+  {name: 'named', act: () => undefined, expected: 5},
+  {name: 'named anew', act: limiter => limiter.recordNamed(3, 200), expected: 3},
+  {
+    name: 'not named by the answer to a later request',
+    act: limiter => limiter.recordNotNamed(100),
+    expected: undefined,
+  },
+  {
+    name: 'not named by an answer that was overtaken',
+    act: limiter => limiter.recordNotNamed(99),
+    expected: 5,
+  },
+  {name: 'of a process that has ended', act: limiter => limiter.reset(), expected: undefined},
+];
+
+// Guards against a limit that outlives its cause, or that an old answer removes.
+test.each(namingCases)('a limit $name', ({act, expected}) => {
+  const limiter = new TargetRateLimiter();
+  limiter.recordNamed(5, 100);
+  act(limiter);
+  expect(limiter.requestsPerS).toBe(expected);
+});
--- a/packages/gateway/src/cold_target_limiter.ts
+++ b/packages/gateway/src/cold_target_limiter.ts
@@ -2,7 +2,7 @@
  * Keeps the total rate of requests from all gateways to a cold target below the rate that it can take. A few gateways
  * are selected as senders, and each sender spaces its requests.
  */
-import {isAmongSenders, SenderSelection} from './sender_selection';
+import {senderRank, SenderRank} from './sender_rank';
 
 /** Limit on the requests to a cold target. */
 export interface ColdLimit {
@@ -31,22 +31,22 @@
   gatewayName: string,
   gatewayNames: readonly string[],
 ): boolean {
-  return isAmongSenders(coldSenderCount(limit), targetId, gatewayName, gatewayNames);
+  return senderRank(targetId, gatewayName, gatewayNames) < coldSenderCount(limit);
 }
 
 /** Limits the requests of one gateway to one cold target. */
 export class ColdTargetLimiter {
   private lastSentAtMs = Number.NEGATIVE_INFINITY;
-  private readonly selection = new SenderSelection();
+  private readonly senderRank = new SenderRank();
 
-  /** Same as `isColdSender`, recomputed only when the limit or the list of gateways changes. */
+  /** Same as `isColdSender`, but ranks the gateways only when their list changes. */
   isSender(
     limit: ColdLimit,
     targetId: string,
     gatewayName: string,
     gatewayNames: readonly string[],
   ): boolean {
-    return this.selection.isSender(coldSenderCount(limit), targetId, gatewayName, gatewayNames);
+    return this.senderRank.of(targetId, gatewayName, gatewayNames) < coldSenderCount(limit);
   }
 
   /** True when the minimum interval since the last request has passed. */
--- a/packages/gateway/src/forwarding.ts
+++ b/packages/gateway/src/forwarding.ts
@@ -253,6 +253,7 @@
       this.lastPlacement = placement;
       record.recordStart(target.id);
       target.load.recordStart();
+      target.rateLimiter.recordSend(startedAtMs);
       if (target.isCold(startedAtMs)) target.coldLimiter.recordSend(startedAtMs);
       const elapsedMs = () => parts.time.monotonicMs() - startedAtMs;
       return exchangeWithTarget({
--- a/packages/gateway/src/record_exchange_end.ts
+++ b/packages/gateway/src/record_exchange_end.ts
@@ -4,6 +4,9 @@
 import type {Placement} from './placement';
 import type {ExchangeEnd, TargetAnswer} from './target_exchange';
 
+/** An exchange that ended with an answer of a target. */
+type AnsweringEnd = ExchangeEndOfKind<'answered' | 'declined'>;
+
 type ExchangeEndOfKind<Kind extends ExchangeEnd['kind']> = Extract<ExchangeEnd, {kind: Kind}>;
 
 /** An attempt at one target, when its exchange has ended. */
@@ -74,6 +77,7 @@
   const {target} = placement;
   const nowMs = parts.time.monotonicMs();
   recordReports(end.answer, placement, nowMs);
+  recordLimit(context, end);
   parts.poison.recordAnswered(forwarded.fingerprint, target.id, end.answer.status);
   if (end.answer.status >= 500) {
     target.health.onFailure(nowMs);
@@ -93,14 +97,13 @@
   if (objectKey !== undefined) target.recentObjects.recordUse(objectKey, nowMs);
 }
 
-function recordRejection(
-  {parts, placement}: ExchangeContext,
-  end: ExchangeEndOfKind<'declined'>,
-): void {
+function recordRejection(context: ExchangeContext, end: ExchangeEndOfKind<'declined'>): void {
+  const {parts, placement} = context;
   const {target} = placement;
   const nowMs = parts.time.monotonicMs();
   recordReports(end.answer, placement, nowMs);
   if (!end.answer.head.wrongTarget) {
+    recordLimit(context, end);
     target.health.onFailure(nowMs);
     return;
   }
@@ -125,3 +128,17 @@
   if (load !== undefined) target.load.recordReport(load, nowMs);
   if (coldForMs !== undefined) target.markCold(coldForMs, nowMs);
 }
+
+/** A rejection may leave out the limit, so only the answer to a request that ran shows that the limit has ended. */
+function recordLimit({parts, attempt}: ExchangeContext, end: AnsweringEnd): void {
+  const {rateLimiter, id: targetId} = attempt.placement.target;
+  const {limitPerS} = end.answer.head;
+  const nowMs = parts.time.monotonicMs();
+  const before = rateLimiter.requestsPerS;
+  if (limitPerS !== undefined) rateLimiter.recordNamed(limitPerS, nowMs);
+  else if (end.kind === 'answered') rateLimiter.recordNotNamed(nowMs - attempt.elapsedMs);
+  const after = rateLimiter.requestsPerS;
+  if (after === before) return;
+  const event = after === undefined ? 'limit-ended' : 'limited';
+  parts.log.event('target', {event, targetId, requestsPerS: after});
+}
--- a/packages/gateway/src/request_wire.ts
+++ b/packages/gateway/src/request_wire.ts
@@ -30,6 +30,8 @@
   /** True when another target answered at the address. */
   readonly wrongTarget: boolean;
   readonly load: ReportedLoad | undefined;
+  /** Requests per second that the target takes from all gateways together; undefined when it names no limit. */
+  readonly limitPerS: number | undefined;
   /** How long the target stays cold, in milliseconds; undefined when the response does not state it. */
   readonly coldForMs: number | undefined;
 }
--- a/packages/gateway/src/status_page.ts
+++ b/packages/gateway/src/status_page.ts
@@ -80,6 +80,7 @@
   if (!target.isAssignable) return 'wrong address';
   if (parts.evacuations.evacuatedDomains.has(target.failureDomain)) return 'evacuated';
   if (target.health.reachability !== 'reachable') return target.health.reachability;
+  if (target.rateLimiter.requestsPerS !== undefined) return 'limited';
   return target.isCold(nowMs) ? 'cold' : 'usable';
 }
 
--- a/packages/gateway/src/target.ts
+++ b/packages/gateway/src/target.ts
@@ -6,6 +6,7 @@
 import {RecentObjects} from './recent_objects';
 import {TargetLoad} from './target_load';
 import {TargetHealth} from './target_health';
+import {TargetRateLimiter} from './target_rate_limiter';
 
 /** Identifies a target's process: a target may start again under the id that it had. */
 export function incarnationIdOf({id, startedAtMs}: TargetRecord): string {
@@ -16,6 +17,7 @@
 export class Target {
   readonly load = new TargetLoad();
   readonly coldLimiter = new ColdTargetLimiter();
+  readonly rateLimiter = new TargetRateLimiter();
   readonly recentObjects = new RecentObjects();
   health = new TargetHealth();
   /** Hash of the id, for rendezvous hashing. */
@@ -120,6 +122,7 @@
   /** Resets what was learned about the former process, because a new one runs under the same id. */
   private resetAfterRestart(): void {
     this.health = new TargetHealth();
+    this.rateLimiter.reset();
     this.recentObjects.clear();
     this.hasWrongAddress = false;
   }
