Count targets as cold when their evacuation ends before their records are read again

Cause: after an outage of the store each kind of objects returns by itself. The end of an evacuation was read up to two seconds before the records of the targets, which become cold at that moment; the gateways sent them as much as others. The targets of the failure domain now count as cold until their records are read again, if the feed of targets is disconnected or its last answer is older than 1.5 s.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -46,6 +46,8 @@
 /** The process exits this long before it would be killed. */
 const exitMarginMs = 250;
 const idlePollIntervalMs = 25;
+/** Targets change their records at least this often, so an older list shows that the store does not answer. */
+const maxCurrentListAgeMs = 1_500;
 const logFlushTimeoutMs = 100;
 
 /** One running gateway. */
@@ -180,6 +182,7 @@
       }),
       evacuations: new EvacuationView((failureDomain, evacuated) => {
         log.event('evacuation', {failureDomain, evacuated});
+        if (!evacuated) this.onEvacuationEnded(failureDomain);
       }),
       peers,
       serviceSelector: new ServiceSelector(),
@@ -211,10 +214,27 @@
     return this.feeds.map(feed => feed.state());
   }
 
+  /**
+   * Targets may become cold when their evacuation ends, which only their records say. After an outage of the store the end
+   * may be read before the records.
+   */
+  private onEvacuationEnded(failureDomain: string): void {
+    const feed = this.targetFeedState();
+    const isCurrent = feed?.connected === true && (feed.ageMs ?? Infinity) <= maxCurrentListAgeMs;
+    if (isCurrent) return;
+    const {configuration, targets} = this.parts;
+    const services = configuration.routes?.configuration.services;
+    targets.markDomainCold(failureDomain, service => services?.get(service)?.coldStartMs ?? 0);
+  }
+
+  private targetFeedState(): FeedState | undefined {
+    return this.feedStates().find(({kind}) => kind === this.ports.targets.kind);
+  }
+
   /** Age of the target list, the stored data that requests depend on most. */
   private storeAgeMs(): number | undefined {
-    const feed = this.feedStates().find(({kind}) => kind === this.ports.targets.kind);
-    return feed?.ageMs === undefined ? undefined : Math.round(feed.ageMs);
+    const ageMs = this.targetFeedState()?.ageMs;
+    return ageMs === undefined ? undefined : Math.round(ageMs);
   }
 
   private makePeerExchange(): PeerExchange {
--- a/packages/gateway/src/target_directory.ts
+++ b/packages/gateway/src/target_directory.ts
@@ -52,6 +52,18 @@
     this.graceUntilMs = this.time.monotonicMs() + expiredRecordGraceMs;
   }
 
+  /**
+   * Treats the targets of a failure domain as cold until their records are read again.
+   * @param coldStartMs Returns how long a target of a service stays cold after a start.
+   */
+  markDomainCold(failureDomain: string, coldStartMs: (service: string) => number): void {
+    const nowMs = this.time.monotonicMs();
+    for (const target of this.byId.values()) {
+      if (target.failureDomain !== failureDomain) continue;
+      target.markCold(coldStartMs(target.service), nowMs);
+    }
+  }
+
   /** Replaces all records. */
   replace(list: ObjectList<TargetRecord>): void {
     const listed = new Set(list.objects.map(({name}) => name));
