--- a/packages/gateway/src/connection_history.ts
+++ b/packages/gateway/src/connection_history.ts
@@ -21,6 +21,7 @@
 /** Connections of one gateway, by target. */
 export class ConnectionHistory {
   private readonly byTarget = new Map<string, Set<ConnectionTimes>>();
+  private forgottenAtMs = Number.NEGATIVE_INFINITY;
 
   constructor(private readonly time: TimeSource) {}
 
@@ -30,20 +31,21 @@
       openedAtMs: this.time.monotonicMs(),
       closedAtMs: undefined,
     };
-    const connections = this.connectionsTo(targetId);
-    connections.add(connection);
+    this.forgetClosed();
+    const connections = this.byTarget.get(targetId) ?? new Set();
+    this.byTarget.set(targetId, connections.add(connection));
     const onClosedByTarget = () => (connection.closedAtMs ??= this.time.monotonicMs());
     socket.once('end', onClosedByTarget);
     socket.once('error', onClosedByTarget);
     socket.once('close', () => {
-      if (connection.closedAtMs === undefined) connections.delete(connection);
-      this.forgetClosed(targetId);
+      const wasClosedByGateway = connection.closedAtMs === undefined;
+      if (wasClosedByGateway) connections.delete(connection);
     });
   }
 
   /** True if the target closed all connections at the time when one of them was lost, and had more than that one. */
   closedTogether(targetId: string, lostAtMs: number): boolean {
-    const connections = [...this.connectionsTo(targetId)].filter(
+    const connections = [...(this.byTarget.get(targetId) ?? [])].filter(
       ({openedAtMs}) => openedAtMs < lostAtMs,
     );
     if (connections.some(({closedAtMs}) => closedAtMs === undefined)) return false;
@@ -53,20 +55,16 @@
     return together.length >= minClosedTogether;
   }
 
-  private connectionsTo(targetId: string): Set<ConnectionTimes> {
-    const known = this.byTarget.get(targetId);
-    if (known !== undefined) return known;
-    const connections = new Set<ConnectionTimes>();
-    this.byTarget.set(targetId, connections);
-    return connections;
-  }
-
-  private forgetClosed(targetId: string): void {
-    const connections = this.connectionsTo(targetId);
+  /** Forgets old closed connections of all targets, at most once in the time for which they are kept. */
+  private forgetClosed(): void {
     const oldestMs = this.time.monotonicMs() - closedConnectionTtlMs;
-    for (const connection of connections) {
-      if ((connection.closedAtMs ?? Infinity) < oldestMs) connections.delete(connection);
+    if (this.forgottenAtMs > oldestMs) return;
+    this.forgottenAtMs = this.time.monotonicMs();
+    for (const [targetId, connections] of this.byTarget) {
+      for (const connection of connections) {
+        if ((connection.closedAtMs ?? Infinity) < oldestMs) connections.delete(connection);
+      }
+      if (connections.size === 0) this.byTarget.delete(targetId);
     }
-    if (connections.size === 0) this.byTarget.delete(targetId);
   }
 }
