Stop the links of replaced targets when a soak ends

A run in which a target was replaced printed its result and never exited: the loopback proxy of the former target went on listening.

--- a/packages/soak/src/target_fleet.ts
+++ b/packages/soak/src/target_fleet.ts
@@ -37,6 +37,8 @@
 /** All targets of a run. */
 export class TargetFleet {
   readonly targets: SoakTarget[] = [];
+  /** Links of all targets that were ever started, because an address may outlive its target. */
+  private readonly links = new Set<FaultProxy>();
   private lastTargetNumber = 0;
   private isStopped = false;
 
@@ -54,6 +56,7 @@
   /** Starts a target at a new address. */
   async add(service: string, failureDomain: string, coldDurationMs: number): Promise<SoakTarget> {
     const link = new FaultProxy({host: '127.0.0.1', port: 0});
+    this.links.add(link);
     const location = {link, linkPort: await link.start(), failureDomain};
     return this.addAtLocation(location, service, coldDurationMs);
   }
@@ -115,10 +118,8 @@
 
   stop(): void {
     this.isStopped = true;
-    for (const target of this.targets) {
-      this.crash(target);
-      target.location.link.stop();
-    }
+    for (const target of this.targets) this.crash(target);
+    for (const link of this.links) link.stop();
   }
 
   private recordDeparture({id}: SoakTarget): void {
