Let the stand-in of an endpoint become warm again

It named the same time for which it stays cold in every answer, for good, so that gateways used a target that had joined a soak run rarely for the rest of the run.

--- a/packages/soak/src/target_fleet.ts
+++ b/packages/soak/src/target_fleet.ts
@@ -86,7 +86,7 @@
   async startTarget(target: SoakTarget, coldDurationMs: number): Promise<void> {
     target.server?.stop();
     const server = this.makeServer(target);
-    server.coldMs = coldDurationMs;
+    server.becomeCold(coldDurationMs);
     target.location.link.upstream = {host: '127.0.0.1', port: await server.start()};
     target.server = server;
     this.writeRecord(target, wireEndpointStart(coldDurationMs, Date.now()));
--- a/packages/standins/src/users_platform/endpoint_server.ts
+++ b/packages/standins/src/users_platform/endpoint_server.ts
@@ -68,7 +68,6 @@
 /** Endpoint that listens on a port of the loopback address. */
 export class EndpointServer {
   mode: AnswerMode = 'normal';
-  coldMs = 0;
   /** Requests per second that the endpoint names in its answers as its limit; it takes more all the same. */
   limitPerS: number | undefined;
   draining = false;
@@ -78,6 +77,7 @@
   arrivedCount = 0;
   /** Number of requests whose caller closed the connection while they ran. */
   cancelledCount = 0;
+  private coldUntilMs = 0;
   private running = 0;
   private readonly queue: WaitingRequest[] = [];
   private readonly server: http.Server;
@@ -103,6 +103,16 @@
     return (this.server.address() as AddressInfo).port;
   }
 
+  /** Makes the endpoint cold for a time from now. */
+  becomeCold(durationMs: number): void {
+    this.coldUntilMs = performance.now() + durationMs;
+  }
+
+  /** How long the endpoint stays cold. */
+  get coldForMs(): number {
+    return Math.max(0, Math.ceil(this.coldUntilMs - performance.now()));
+  }
+
   /** Stops and closes all connections at once, as in a crash. */
   stop(): void {
     this.server.closeAllConnections();
@@ -275,12 +285,12 @@
   }
 
   private headers(): Record<string, string> {
-    const {coldMs} = this.endpoint;
+    const {coldForMs} = this.endpoint;
     return {
       'Request-Id': this.requestId(),
       'Response-Stamp': `stamp-${this.endpoint.options.id}`,
       'Server-Load': this.endpoint.serverLoad(),
-      ...(coldMs > 0 ? {'Cold-Ms': String(coldMs)} : {}),
+      ...(coldForMs > 0 ? {'Cold-Ms': String(coldForMs)} : {}),
       ...this.limitHeader(),
     };
   }
