Let the callers of a soak have many addresses

All requests of a soak came from one address, so its profile with crashing requests could not show that a repeat from another address was not recognized (BUDGET).

--- a/packages/soak/src/fault_proxy.ts
+++ b/packages/soak/src/fault_proxy.ts
@@ -32,8 +32,15 @@
   private state = healthyLink;
   private readonly stateChanges = new EventEmitter().setMaxListeners(0);
 
-  /** @param upstream Destination of new connections; may be changed when a target is restarted or replaced. */
-  constructor(public upstream: {readonly host: string; readonly port: number}) {}
+  /**
+   * @param upstream Destination of new connections; may be changed when a target is restarted or replaced.
+   * @param nextSourceAddress Returns the loopback address from which the next connection comes; by default the system
+   *     chooses it.
+   */
+  constructor(
+    public upstream: {readonly host: string; readonly port: number},
+    private readonly nextSourceAddress: () => string | undefined = () => undefined,
+  ) {}
 
   /** Starts to listen on a free port and returns the port. */
   async start(): Promise<number> {
@@ -60,7 +67,9 @@
   }
 
   private acceptConnection(clientSocket: net.Socket): void {
-    const upstreamSocket = net.connect({...this.upstream, allowHalfOpen: true});
+    const localAddress = this.nextSourceAddress();
+    const source = localAddress === undefined ? {} : {localAddress};
+    const upstreamSocket = net.connect({...this.upstream, ...source, allowHalfOpen: true});
     for (const socket of [clientSocket, upstreamSocket]) {
       socket.setNoDelay(true);
       // `relay` handles errors when it reads; without a listener, an error event would end the process.
--- a/packages/soak/src/soak_deployment.ts
+++ b/packages/soak/src/soak_deployment.ts
@@ -36,6 +36,8 @@
   'b-1': 'b',
 };
 const failureDomains = Object.keys(regionByFailureDomain);
+/** Loopback addresses from which callers connect to the gateways. */
+const callerAddressCount = 100;
 
 /** Number of targets of each service at the start. */
 const targetCountByService: Readonly<Record<string, number>> = {pages: 6, orders: 5, files: 3};
@@ -67,6 +69,7 @@
   readonly gateways: GatewayProcess[] = [];
   routeVariant: RouteVariant = {sendService: 'files', hasNewRoute: false};
   private version = 0;
+  private lastCallerAddress = 0;
   private readonly startedAtMs = performance.now();
 
   constructor(private readonly options: DeploymentOptions) {}
@@ -162,6 +165,12 @@
     };
   }
 
+  /** Callers have many addresses, so that repeats of a request come from different ones. */
+  private nextCallerAddress(): string {
+    this.lastCallerAddress = (this.lastCallerAddress + 1) % callerAddressCount;
+    return `127.9.0.${this.lastCallerAddress + 1}`;
+  }
+
   private async addGateway(
     index: number,
     storePort: number,
@@ -170,7 +179,7 @@
     const host = processLoopbackAddress();
     const name = `gateway-${index + 1}`;
     const failureDomain = this.failureDomainOf(index);
-    const callerLink = new FaultProxy({host, port: front});
+    const callerLink = new FaultProxy({host, port: front}, () => this.nextCallerAddress());
     const storeLink = new FaultProxy({host: '127.0.0.1', port: storePort});
     const ports = {store: await storeLink.start(), front, ready, directory, metrics, peer};
     const region = regionByFailureDomain[failureDomain] ?? '';
