Add targets that name a limit to the soak, with a check of the rule

The profile limited has targets that name 1 to 5 requests a second for 6 s and longer, beside planned operations.

--- a/packages/soak/__tests__/fault_plan.test.ts
+++ b/packages/soak/__tests__/fault_plan.test.ts
@@ -18,13 +18,22 @@
 });
 
 test('draws only the kinds of a profile, and in a long run each of them', () => {
-  for (const name of ['planned', 'links', 'processes', 'store', 'mixed', 'crashing'] as const) {
+  for (const name of [
+    'planned',
+    'links',
+    'processes',
+    'store',
+    'mixed',
+    'crashing',
+    'limited',
+  ] as const) {
     const kinds = new Set(planFaults(1, 400_000, name).map(({kind}) => kind));
     expect([...kinds].sort()).toEqual(Object.keys(faultProfiles[name]).sort());
   }
 });
 
 test('uses every profile within consecutive seeds', () => {
-  const names = [0, 1, 2, 3, 4, 5].map(profileForSeed);
+  const seeds = Object.keys(faultProfiles).map((_name, seed) => seed);
+  const names = seeds.map(profileForSeed);
   expect(new Set(names).size).toBe(Object.keys(faultProfiles).length);
 });
--- a/packages/soak/__tests__/promise_checks.test.ts
+++ b/packages/soak/__tests__/promise_checks.test.ts
@@ -13,6 +13,7 @@
   ],
   leavings: [],
   crashes: [],
+  limits: [],
   notReady: [],
   memoryPeaks: [{gateway: 'g', bytes: 60e6}],
   healedAtMs: Infinity,
@@ -115,12 +116,34 @@
   expect(brokenChecks(crashedThriceAndSentFrom(6_000))).not.toContain('crashing-request');
 });
 
+/** A target names 2 requests per second for 10 s and gets one every `intervalMs`, all from one gateway. */
+function limitedAndSentEvery(intervalMs: number): Partial<SoakHistory> {
+  const count = Math.floor(10_000 / intervalMs);
+  const ids = Array.from({length: count}, (_value, number) => `r-${number}`);
+  return {
+    limits: [{targetId: 't', requestsPerS: 2, fromMs: 10_000, untilMs: 20_000}],
+    requests: ids.map(id => sentRequest({id, end: answeredEnd(200, {answeredId: id})})),
+    targetEvents: ids.flatMap((requestId, number) => {
+      const atMs = 10_000 + number * intervalMs;
+      return [
+        targetEvent('arrived', {requestId, atMs}),
+        targetEvent('answered', {requestId, atMs: atMs + 5}),
+      ];
+    }),
+  };
+}
+
+test('a limited target may get half as many requests again, and some more', () => {
+  expect(brokenChecks(limitedAndSentEvery(250))).not.toContain('target-limit');
+});
+
 const violations: ReadonlyArray<readonly [string, string, Partial<SoakHistory>]> = [
   [
     'crashing-request',
     'a request is sent on long after it has crashed three targets',
     crashedThriceAndSentFrom(8_000),
   ],
+  ['target-limit', 'a target gets twice its limit and more', limitedAndSentEvery(200)],
   ['at-most-once', 'a booking runs twice', {targetEvents: [...servedEvents, targetEvent('ran')]}],
   [
     'true-refusal',
--- a/packages/soak/src/fault_plan.ts
+++ b/packages/soak/src/fault_plan.ts
@@ -31,6 +31,7 @@
   | 'reuse-address'
   | 'join-target'
   | 'break-answers'
+  | 'limit-target'
   | 'configure'
   | 'evacuate';
 
@@ -77,6 +78,7 @@
   'reuse-address': 2,
   'break-answers': 5,
 };
+const limitFaults: FaultProfile = {'limit-target': 4};
 const plannedOperations: FaultProfile = {
   'stop-gateway': 3,
   'reload-gateway': 2,
@@ -88,7 +90,7 @@
 
 /**
  * Fault profiles by name. With `planned`, which has planned operations only, no request may be cut off. With `crashing`, a
- * caller sends requests that crash targets in addition.
+ * caller sends requests that crash targets in addition. With `limited`, targets name limits on their requests.
  */
 export const faultProfiles = {
   planned: plannedOperations,
@@ -97,6 +99,7 @@
   processes: {...processFaults, ...targetFaults, ...plannedOperations},
   store: {...storeFaults, ...plannedOperations},
   crashing: {...processFaults, ...targetFaults},
+  limited: {...limitFaults, ...plannedOperations},
 } as const satisfies Readonly<Record<string, FaultProfile>>;
 
 /** Name of a profile. */
--- a/packages/soak/src/inject_fault.ts
+++ b/packages/soak/src/inject_fault.ts
@@ -25,6 +25,11 @@
 const maxStoreDelayMs = 1_500;
 const maxBrokenAnswers = 12;
 const minTargetsPerService = 2;
+/** A target names its limit for at least this long, in milliseconds, as the rule counts in windows of four seconds. */
+const minLimitMs = 6_000;
+const minLimitPerS = 1;
+/** Added to the lowest limit at full strength. */
+const limitRangePerS = 4;
 
 const faultHandlers: Readonly<Record<FaultKind, FaultHandler>> = {
   'delay-link': (deployment, fault) =>
@@ -59,6 +64,7 @@
   'reuse-address': reuseAddress,
   'join-target': joinTarget,
   'break-answers': breakAnswers,
+  'limit-target': limitTarget,
   configure: changeConfiguration,
   evacuate: evacuateFailureDomain,
 };
@@ -291,6 +297,22 @@
   return Promise.resolve();
 }
 
+async function limitTarget(
+  deployment: SoakDeployment,
+  {selector, strength, durationMs}: PlannedFault,
+): Promise<void> {
+  const server = pickFrom(deployment.fleet.targets, selector)?.server;
+  if (server === undefined || server.limitPerS !== undefined) return;
+  const requestsPerS = Math.round((minLimitPerS + strength * limitRangePerS) * 10) / 10;
+  const fromMs = deployment.nowMs();
+  server.limitPerS = requestsPerS;
+  await sleep(minLimitMs + durationMs);
+  server.limitPerS = undefined;
+  const {id: targetId} = server.options;
+  const untilMs = deployment.nowMs();
+  deployment.recorder.limits.push({targetId, requestsPerS, fromMs, untilMs});
+}
+
 function changeConfiguration(
   deployment: SoakDeployment,
   {selector, strength}: PlannedFault,
--- a/packages/soak/src/promise_bounds.ts
+++ b/packages/soak/src/promise_bounds.ts
@@ -29,4 +29,11 @@
   readonly maxCrashes: number;
   /** Arrivals of that request at targets that are allowed later than `stabilityMs` after the last of these crashes. */
   readonly maxRetriesAfterCrashes: number;
+  /** Multiple of the limit that a target names which it may get in a window. */
+  readonly limitFactor: number;
+  /** Requests that are allowed in addition to that multiple. */
+  readonly limitSlackRequests: number;
+  readonly limitWindowMs: number;
+  /** Time after which a gateway that has seen a limit must keep to it. */
+  readonly limitNoticeMs: number;
 }
--- a/packages/soak/src/promise_checks.ts
+++ b/packages/soak/src/promise_checks.ts
@@ -6,6 +6,7 @@
 import type {PromiseBounds} from './promise_bounds';
 import {findExcessiveRetries, findRetriesOfCrashingRequests} from './retry_checks';
 import type {Disruption, SentRequest, SoakHistory, WrittenConfiguration} from './soak_history';
+import {findArrivalsBeyondLimit} from './target_limit_check';
 
 /** One violation of a promise. */
 export interface Violation {
@@ -38,6 +39,7 @@
   configuration: findLateAdoptions,
   'retry-limit': findExcessiveRetries,
   'crashing-request': findRetriesOfCrashingRequests,
+  'target-limit': findArrivalsBeyondLimit,
   cancellation: findArrivalsAfterCancel,
   'time-out': findLateAnswers,
   recovery: findMissingRecovery,
--- a/packages/soak/src/run_soak.ts
+++ b/packages/soak/src/run_soak.ts
@@ -54,6 +54,10 @@
   minServedFraction: 0.9,
   maxCrashes: 3,
   maxRetriesAfterCrashes: 3,
+  limitFactor: 1.5,
+  limitSlackRequests: 5,
+  limitWindowMs: 4_000,
+  limitNoticeMs: 500,
 };
 
 /** Maximum time until every gateway is ready, at the start and after the faults, in milliseconds. */
--- a/packages/soak/src/soak_history.ts
+++ b/packages/soak/src/soak_history.ts
@@ -92,6 +92,15 @@
   readonly atMs: number;
 }
 
+/** A period in which a target named a limit on its requests. */
+export interface TargetLimit {
+  readonly targetId: string;
+  /** Requests per second from all gateways together. */
+  readonly requestsPerS: number;
+  readonly fromMs: number;
+  readonly untilMs: number;
+}
+
 /** Maximum resident memory of a gateway process. */
 export interface MemoryPeak {
   readonly gateway: string;
@@ -108,6 +117,7 @@
   readonly leavings: readonly TargetDeparture[];
   /** In the order of time. */
   readonly crashes: readonly TargetCrash[];
+  readonly limits: readonly TargetLimit[];
   readonly memoryPeaks: readonly MemoryPeak[];
   /** Gateways that were not ready in time, at the start or after the faults. */
   readonly notReady: readonly string[];
@@ -125,6 +135,7 @@
   readonly configurations: WrittenConfiguration[] = [];
   readonly leavings: TargetDeparture[] = [];
   readonly crashes: TargetCrash[] = [];
+  readonly limits: TargetLimit[] = [];
   readonly notReady: string[] = [];
   private readonly peakBytesByGateway = new Map<string, number>();
   private healedAtMs = Infinity;
@@ -143,7 +154,8 @@
 
   /** Returns the recorded history. */
   finish(endedAtMs: number): SoakHistory {
-    const {requests, targetEvents, disruptions, exits, configurations, leavings, crashes} = this;
+    const {requests, targetEvents, disruptions, exits} = this;
+    const {configurations, leavings, crashes, limits} = this;
     const memoryPeaks = [...this.peakBytesByGateway].map(([gateway, bytes]) => ({gateway, bytes}));
     return {
       requests,
@@ -153,6 +165,7 @@
       configurations,
       leavings,
       crashes,
+      limits,
       notReady: this.notReady,
       memoryPeaks,
       healedAtMs: this.healedAtMs,
