End the soak's process explicitly

After a run whose links had been reset, the process printed its result and spun at full processor time for good: a stack trace shows Node's cleanup of handles waiting for a connection that was reset while it was being closed.

--- a/packages/soak/src/bin/soak.ts
+++ b/packages/soak/src/bin/soak.ts
@@ -96,7 +96,8 @@
   console.log(
     failedSeedCount === 0 ? 'every promise held' : `${failedSeedCount} seeds broke a promise`,
   );
-  process.exitCode = failedSeedCount === 0 ? 0 : 1;
+  // Node's own end of the process can wait for good for a connection that was reset while it was being closed.
+  process.exit(failedSeedCount === 0 ? 0 : 1);
 }
 
 void main();
