--- a/packages/steering/src/poison_guard.ts
+++ b/packages/steering/src/poison_guard.ts
@@ -31,7 +31,7 @@
 /** Two targets are enough to refuse a request; more are kept for operators, and the limit keeps messages small. */
 const maxTargetsPerSuspicion = 8;
 
-/** One target is enough to tell that a request was sent again. */
+/** One is enough to tell that the request was sent again; more are kept for operators. */
 const maxRepeatTargetsPerSuspicion = 4;
 
 const minServerErrorStatus = 500;
