--- a/packages/gateway/src/target_rate_limiter.ts
+++ b/packages/gateway/src/target_rate_limiter.ts
@@ -5,7 +5,7 @@
  * another moment, go on sending at their usual rate. A window of 4 s may hold 1.5 times what the rate allows, and 5
  * requests. Gateways divide the rate without talking to each other: each spaces its requests. With many gateways, equal
  * parts would let each one send only once in minutes, and all of them could send in the same window. So a few senders
- * get most of the rate, and the other gateways send so rarely that they only learn when the limit ends.
+ * get most of the rate, and the others send just often enough to learn that the limit has ended.
  */
 import {SenderRank} from './sender_rank';
 
