Handle requests in short slices, one poll after they were read

New connections wait in the queue of the operating system while the turns of the event loop are long, and a request was sent on in the same turn in which it was read, before the end of its connection could be read.

Change: requests wait in a queue (request_queue). A request is handled one poll after it was read, when a caller that has left is known; a turn handles requests for 4 ms at most, and one only if it accepted a connection, so connections are accepted several times as often. While the oldest request waits over 50 ms the newest go first; one that has waited over 200 ms through several turns is refused with 503 and the new reason gateway-busy (5014), so its caller can use another gateway.

Ruled out: counting the wait of connections against deadlines. Node.js does not tell how long a connection has waited.

--- a/packages/gateway/src/caller_server.ts
+++ b/packages/gateway/src/caller_server.ts
@@ -5,14 +5,14 @@
 import * as http from 'node:http';
 import type {Socket} from 'node:net';
 import type {SocketAddress} from '@cuminsill/types';
-import type {Fiber} from 'effect';
 import {Cause, Effect, Exit} from 'effect';
 import type {FinalAnswer} from './final_answer';
 import {gatewayReasons} from './final_answer';
 import type {GatewayParts} from './gateway_parts';
 import {endToEndHeaders} from './end_to_end_headers';
-import type {ServedRequest} from './serve_request';
-import {serveRequest} from './serve_request';
+import {RequestQueue} from './request_queue';
+import type {ImmediateRefusal, ServedRequest} from './serve_request';
+import {recordDeparture, serveRequest} from './serve_request';
 import type {TargetAnswer} from './target_exchange';
 
 /** Limit of the HTTP parser; the configured limit is checked afterwards. */
@@ -26,13 +26,16 @@
 export class CallerServer {
   private readonly server: http.Server;
   private readonly openResponses = new Set<http.ServerResponse>();
+  private readonly queue: RequestQueue;
   private phase: ServingPhase = 'serving';
 
   constructor(private readonly parts: GatewayParts) {
+    this.queue = new RequestQueue(parts.time);
     this.server = http.createServer(
       {maxHeaderSize: maxParsedHeaderBytes, requestTimeout: 0, requireHostHeader: false},
-      (request, response) => this.serve(request, response),
+      (request, response) => this.enqueue(request, response),
     );
+    this.server.on('connection', () => this.queue.recordAccepted());
     this.server.on('clientError', (_error, socket) => this.onClientError(socket as Socket));
   }
 
@@ -80,22 +83,40 @@
     socket.end('HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n');
   }
 
-  private serve(request: http.IncomingMessage, response: http.ServerResponse): void {
+  private enqueue(request: http.IncomingMessage, response: http.ServerResponse): void {
     const arrivedAtMs = this.parts.time.monotonicMs();
     this.openResponses.add(response);
     if (this.phase !== 'serving') response.shouldKeepAlive = false;
-    const context = {isRefusing: this.phase === 'refusing', arrivedAtMs};
-    const fiber = Effect.runFork(serveRequest(this.parts, request, context));
-    response.once('close', () => this.onResponseClose(response, fiber));
-    fiber.addObserver(exit => this.onServed(request, response, exit));
+    const queued = {
+      handle: () => {
+        if (hasCallerLeft(request)) recordDeparture(this.parts, request, arrivedAtMs);
+        else this.serve(request, response, arrivedAtMs);
+      },
+      refuse: () => this.serve(request, response, arrivedAtMs, 'gateway-busy'),
+    };
+    this.queue.add(queued);
+    response.once('close', () => {
+      this.onResponseClose(response);
+      if (this.queue.remove(queued)) recordDeparture(this.parts, request, arrivedAtMs);
+    });
   }
 
-  private onResponseClose(
+  private serve(
+    request: http.IncomingMessage,
     response: http.ServerResponse,
-    fiber: Fiber.RuntimeFiber<ServedRequest>,
+    arrivedAtMs: number,
+    busyRefusal?: ImmediateRefusal,
   ): void {
+    const refusal = this.phase === 'refusing' ? 'stopping' : busyRefusal;
+    const fiber = Effect.runFork(serveRequest(this.parts, request, {refusal, arrivedAtMs}));
+    response.once('close', () => {
+      if (!response.writableFinished) fiber.unsafeInterruptAsFork(fiber.id());
+    });
+    fiber.addObserver(exit => this.onServed(request, response, exit));
+  }
+
+  private onResponseClose(response: http.ServerResponse): void {
     this.openResponses.delete(response);
-    if (!response.writableFinished) fiber.unsafeInterruptAsFork(fiber.id());
     // The connection stays open when the head of its answer was sent before the stop began.
     if (this.phase === 'refusing') setImmediate(() => this.server.closeIdleConnections());
   }
@@ -146,6 +167,11 @@
   }
 }
 
+/** True when the caller has closed its connection, or its side of it. */
+function hasCallerLeft({socket}: http.IncomingMessage): boolean {
+  return socket.destroyed || socket.readableEnded;
+}
+
 function writeRelayed(
   response: http.ServerResponse,
   {answer}: Extract<FinalAnswer, {kind: 'relayed'}>,
--- a/packages/gateway/src/final_answer.ts
+++ b/packages/gateway/src/final_answer.ts
@@ -18,7 +18,8 @@
   | 'deadline-before-sending'
   | 'quarantined'
   | 'outcome-unknown'
-  | 'target-timed-out';
+  | 'target-timed-out'
+  | 'gateway-busy';
 
 interface ReasonResponse {
   readonly code: number;
@@ -77,6 +78,11 @@
     status: 504,
     text: 'The target did not answer in time. Whether the request was run is not known.',
   },
+  'gateway-busy': {
+    code: 5014,
+    status: 503,
+    text: 'This gateway has more requests than it can handle. The request was not run.',
+  },
 };
 
 /** The answer to the caller: relayed from a target, or the gateway's own. */
--- a/packages/gateway/src/serve_request.ts
+++ b/packages/gateway/src/serve_request.ts
@@ -21,11 +21,19 @@
 /** Timeout of requests when neither caller nor route sets one. */
 const defaultTimeoutMs = 30_000;
 const defaultRetryAfterMs = 250;
+/** How soon callers may retry after an immediate refusal, in milliseconds. */
+const immediateRetryAfterMs: Readonly<Record<ImmediateRefusal, number>> = {
+  stopping: 0,
+  'gateway-busy': defaultRetryAfterMs,
+};
 
-/** Circumstances in which a request arrived. */
+/** Why the gateway refuses a request without reading its route. */
+export type ImmediateRefusal = 'stopping' | 'gateway-busy';
+
+/** Circumstances in which a request is handled. */
 export interface ServingContext {
-  /** True when the gateway is stopping and refuses new requests. */
-  readonly isRefusing: boolean;
+  /** Undefined when the request is to be served. */
+  readonly refusal: ImmediateRefusal | undefined;
   readonly arrivedAtMs: number;
 }
 
@@ -44,6 +52,15 @@
   return Effect.suspend(() => new RequestHandler(parts, incoming, context).run());
 }
 
+/** Records a request whose caller left before the gateway handled it. */
+export function recordDeparture(
+  parts: GatewayParts,
+  incoming: IncomingMessage,
+  arrivedAtMs: number,
+): void {
+  new RequestHandler(parts, incoming, {refusal: undefined, arrivedAtMs}).recordDeparture();
+}
+
 class RequestHandler {
   private route: RouteRule | undefined;
   private service: string | undefined;
@@ -69,10 +86,19 @@
     );
   }
 
+  recordDeparture(): void {
+    this.parts.metrics.requestStarted();
+    this.recordOutcome(undefined);
+  }
+
   private answer(): Effect.Effect<FinalAnswer> {
     const {parts, incoming, context} = this;
     const {routes} = parts.configuration;
-    if (context.isRefusing) return Effect.succeed(ownAnswer('stopping', 0));
+    const {refusal: immediateRefusal} = context;
+    if (immediateRefusal !== undefined) {
+      const retryAfterMs = immediateRetryAfterMs[immediateRefusal];
+      return Effect.succeed(ownAnswer(immediateRefusal, retryAfterMs));
+    }
     if (routes === undefined) {
       return Effect.succeed(ownAnswer('no-configuration', defaultRetryAfterMs));
     }
