Log the time that was left when a request was admitted or refused

A line of a refusal did not state what the decision was based on: expected time, wait and remaining time were logged only for requests that were sent. They are now those of the last admission, refused or not; 'explain' prints them.

--- a/packages/gateway/__tests__/explain_request.test.ts
+++ b/packages/gateway/__tests__/explain_request.test.ts
@@ -16,6 +16,7 @@
   elapsedMs: 16,
   expectedMs: 12,
   waitMs: 0,
+  remainingMs: 985,
   usableTargets: 1,
   listedTargets: 2,
   storeAgeMs: 63,
@@ -35,6 +36,9 @@
   expect(text).toContain('target i-0 ended the connection without an answer');
   expect(text).toContain('(read ECONNRESET), 9 ms');
   expect(text).toContain('1 of 2 targets usable, by a list that was 63 ms old');
+  expect(text).toContain(
+    'expected at the chosen target: 12 ms, of it 0 ms waiting, with 985 ms left',
+  );
   expect(text).toContain('target i-0: unreachable, connect ECONNREFUSED');
   expect(text).not.toContain('i-9');
 });
--- a/packages/gateway/src/decision_log.ts
+++ b/packages/gateway/src/decision_log.ts
@@ -36,8 +36,12 @@
   readonly status: number;
   readonly elapsedMs: number;
   readonly retryAfterMs?: number;
+  /** Expected time until the answer, at the last admission of the request; includes `waitMs`. */
   readonly expectedMs?: number;
+  /** Expected wait at the target, at the last admission. */
   readonly waitMs?: number;
+  /** Time left until the deadline, at the last admission. */
+  readonly remainingMs?: number;
   readonly usableTargets: number;
   readonly listedTargets: number;
   readonly storeAgeMs: number | undefined;
--- a/packages/gateway/src/explain_request.ts
+++ b/packages/gateway/src/explain_request.ts
@@ -165,11 +165,18 @@
     expectedMs === undefined
       ? []
       : [
-          `expected at the chosen target: ${expectedMs} ms, of it ${textOf(request, 'waitMs')} ms waiting`,
+          `expected at the chosen target: ${expectedMs} ms, of it ${textOf(request, 'waitMs')} ms waiting` +
+            remainingText(request),
         ];
   return [`${route}${version}`, `${usable}, ${age}`, ...expected];
 }
 
+/** Time that was left at the admission; lines of earlier versions do not state it. */
+function remainingText(request: JsonObject): string {
+  const remainingMs = numberField(request, 'remainingMs');
+  return remainingMs === undefined ? '' : `, with ${remainingMs} ms left`;
+}
+
 function storeText(line: JsonObject): string {
   const kind = textOf(line, 'kind');
   if (line['connected'] !== true) {
--- a/packages/gateway/src/forwarding.ts
+++ b/packages/gateway/src/forwarding.ts
@@ -5,6 +5,7 @@
  */
 import {hash32} from '@cuminsill/utils';
 import {Effect, Fiber} from 'effect';
+import type {AdmissionInput} from './admission';
 import {admit} from './admission';
 import {AttemptRecord, relayedOrOutcomeUnknown} from './attempt_record';
 import type {CallerRequest} from './caller_request';
@@ -30,11 +31,11 @@
   readonly deadlineMs: number;
 }
 
-/** The final answer, the attempts and the last placement. */
+/** The final answer, the attempts and the last admission. */
 export interface ForwardingResult {
   readonly answer: FinalAnswer;
   readonly record: AttemptRecord;
-  readonly placement: Placement | undefined;
+  readonly admission: AdmissionInput | undefined;
 }
 
 /**
@@ -65,7 +66,7 @@
 
 class Forwarding {
   private readonly record = new AttemptRecord();
-  private lastPlacement: Placement | undefined;
+  private lastAdmission: AdmissionInput | undefined;
   private refusal: FinalAnswer | undefined;
   /** True if a target was known to have gone down under the same request before this one was sent. */
   private readonly wasSuspected: boolean;
@@ -83,7 +84,7 @@
     return this.attemptNext().pipe(
       Effect.map(relayedOrOutcomeUnknown),
       Effect.catchAll(() => Effect.sync(() => this.failureAnswer())),
-      Effect.map(answer => ({answer, record: this.record, placement: this.lastPlacement})),
+      Effect.map(answer => ({answer, record: this.record, admission: this.lastAdmission})),
     );
   }
 
@@ -195,7 +196,9 @@
     const {expectedMs, waitMs} = placement;
     const jitter = hash32(request.requestId) / 2 ** 32;
     const {priority} = route;
-    const admission = admit({expectedMs, waitMs, remainingMs, latencyBudgetMs, priority, jitter});
+    const input = {expectedMs, waitMs, remainingMs, latencyBudgetMs, priority, jitter};
+    this.lastAdmission = input;
+    const admission = admit(input);
     if (admission.kind === 'refuse') {
       this.refusal = ownAnswer('overloaded', admission.retryAfterMs);
       return undefined;
@@ -250,7 +253,6 @@
       const startedAtMs = parts.time.monotonicMs();
       const isRepeat = record.lostCount > 0 || parts.poison.isSuspected(forwarded.fingerprint);
       const attempt = {placement, incarnationId: target.incarnationId, isRepeat};
-      this.lastPlacement = placement;
       record.recordStart(target.id);
       target.load.recordStart();
       target.rateLimiter.recordSend(startedAtMs);
--- a/packages/gateway/src/serve_request.ts
+++ b/packages/gateway/src/serve_request.ts
@@ -1,6 +1,7 @@
 /** Handles one request of a caller from its head to the final answer, and logs the decision. */
 import type {IncomingMessage} from 'node:http';
 import {Effect} from 'effect';
+import type {AdmissionInput} from './admission';
 import type {CallerRequest} from './caller_request';
 import {readBody} from './caller_request';
 import type {RequestDecision} from './decision_log';
@@ -186,7 +187,6 @@
 
   private describeDecision(answer: FinalAnswer | undefined, elapsedMs: number): RequestDecision {
     const {parts, result, service} = this;
-    const placement = result?.placement;
     const targets = service === undefined ? [] : parts.targets.ofService(service);
     const nowMs = parts.time.monotonicMs();
     const isUsable = (target: Target) => targetState(parts, target, nowMs) === 'usable';
@@ -200,9 +200,7 @@
       status: statusOf(answer),
       elapsedMs: Math.round(elapsedMs),
       ...retryAfterOf(answer),
-      ...(placement === undefined
-        ? {}
-        : {expectedMs: Math.round(placement.expectedMs), waitMs: Math.round(placement.waitMs)}),
+      ...admissionFields(result?.admission),
       usableTargets: targets.filter(isUsable).length,
       listedTargets: targets.length,
       storeAgeMs: parts.storeAgeMs(),
@@ -244,6 +242,18 @@
   return answer.kind === 'relayed' ? answer.answer.status : gatewayReasons[answer.reason].status;
 }
 
+function admissionFields(
+  admission: AdmissionInput | undefined,
+): Pick<RequestDecision, 'expectedMs' | 'waitMs' | 'remainingMs'> {
+  if (admission === undefined) return {};
+  const {expectedMs, waitMs, remainingMs} = admission;
+  return {
+    expectedMs: Math.round(expectedMs),
+    waitMs: Math.round(waitMs),
+    remainingMs: Math.round(remainingMs),
+  };
+}
+
 function retryAfterOf(answer: FinalAnswer | undefined): {readonly retryAfterMs?: number} {
   if (answer?.kind !== 'own' || answer.retryAfterMs === undefined) return {};
   return {retryAfterMs: Math.round(answer.retryAfterMs)};
