Use a free slot for a request that may be answered in time

Cause: a request was refused as overloaded when the mean service time exceeded the time that its caller waits, although its target was idle. The refusal was not true.

Change: while its target has a free slot, a request is refused for lack of time only if no answer of the service has ever been quick enough; every two seconds one is sent all the same, so that the gateway learns. Requests that would wait, retries and hedges go by the expected time as before.

In admission.test the refused case now also has a shortest time above the deadline, because its old input is allowed now; two cases were added around it.

Ruled out: sending whatever the shortest answer was. At-most-once requests would end with an unknown outcome where a refusal is true.

--- a/packages/gateway/__tests__/admission.test.ts
+++ b/packages/gateway/__tests__/admission.test.ts
@@ -3,6 +3,7 @@
 
 const defaultInput: AdmissionInput = {
   expectedMs: 130,
+  minExpectedMs: 40,
   waitMs: 0,
   remainingMs: 2_000,
   latencyBudgetMs: 400,
@@ -22,7 +23,17 @@
     ],
     [
       'a request that cannot be answered by its deadline is refused',
+      {expectedMs: 600, minExpectedMs: 550, remainingMs: 500},
+      'refuse',
+    ],
+    [
+      'a request that may be answered by its deadline gets a free slot',
       {expectedMs: 600, remainingMs: 500},
+      'send',
+    ],
+    [
+      'a request that would wait and probably miss its deadline is refused',
+      {expectedMs: 600, waitMs: 100, remainingMs: 500, latencyBudgetMs: 2_000},
       'refuse',
     ],
     ['a late request still gets a free slot', {latencyBudgetMs: -100}, 'send'],
--- a/packages/gateway/src/admission.ts
+++ b/packages/gateway/src/admission.ts
@@ -9,6 +9,8 @@
 export interface AdmissionInput {
   /** Expected time until the answer, including the wait. */
   readonly expectedMs: number;
+  /** Shortest possible time until the answer without a wait, as far as earlier answers show. */
+  readonly minExpectedMs: number;
   /** Expected wait for a free slot at the target. */
   readonly waitMs: number;
   /** Time left until the request's deadline. */
@@ -38,9 +40,11 @@
 
 /** Decides whether to send or refuse a request. */
 export function admit(input: AdmissionInput): Admission {
-  const {expectedMs, waitMs, remainingMs, latencyBudgetMs, priority} = input;
+  const {expectedMs, minExpectedMs, waitMs, remainingMs, latencyBudgetMs, priority} = input;
   const serviceTimeMs = expectedMs - waitMs;
-  if (expectedMs > remainingMs) return refuse(expectedMs - remainingMs, input);
+  // A free slot takes nothing from other requests, and how long this one takes is not known before it is run.
+  const neededMs = waitMs > 0 ? expectedMs : minExpectedMs;
+  if (neededMs > remainingMs) return refuse(neededMs - remainingMs, input);
   const waitFraction = Math.max(minWaitFraction, 1 - waitFractionLostPerRank * priority);
   const maxWaitMs = Math.max(
     serviceTimeMs * maxWaitToServiceTimeRatio * waitFraction,
--- a/packages/gateway/src/forwarding.ts
+++ b/packages/gateway/src/forwarding.ts
@@ -191,12 +191,14 @@
     }
     const {request, route} = this.forwarded;
     const remainingMs = this.remainingMs();
+    const minExpectedMs = this.minExpectedMs(placement);
     const elapsedMs = this.parts.time.monotonicMs() - request.arrivedAtMs;
     const latencyBudgetMs = route.targetLatencyMs - elapsedMs;
     const {expectedMs, waitMs} = placement;
     const jitter = hash32(request.requestId) / 2 ** 32;
     const {priority} = route;
-    const input = {expectedMs, waitMs, remainingMs, latencyBudgetMs, priority, jitter};
+    const times = {expectedMs, minExpectedMs, waitMs, remainingMs, latencyBudgetMs};
+    const input = {...times, priority, jitter};
     this.lastAdmission = input;
     const admission = admit(input);
     if (admission.kind === 'refuse') {
@@ -209,6 +211,24 @@
     return placement;
   }
 
+  /**
+   * Shortest time in which the placement may give an answer. Retries need the expected time, because they are limited
+   * in number.
+   */
+  private minExpectedMs({target, expectedMs, waitMs}: Placement): number {
+    if (this.record.sentCount > 0) return expectedMs;
+    const {serviceTimes, roundTripTimes, time} = this.parts;
+    const roundTripMs = roundTripTimes.expectedMs(target.failureDomain);
+    const estimator = serviceTimes.of(this.forwarded.service);
+    const minMs = roundTripMs + estimator.minMs();
+    const isTrial =
+      waitMs === 0 &&
+      minMs > this.remainingMs() &&
+      roundTripMs <= this.remainingMs() &&
+      estimator.takeTrial(time.monotonicMs());
+    return isTrial ? roundTripMs : minMs;
+  }
+
   private chooseHedge(): Placement | undefined {
     if (!this.mayRetry()) return undefined;
     const placement = this.choosePlacement();
--- a/packages/gateway/src/record_exchange_end.ts
+++ b/packages/gateway/src/record_exchange_end.ts
@@ -87,6 +87,7 @@
   const serviceTimes = parts.serviceTimes.of(forwarded.service);
   const roundTripMs = parts.roundTripTimes.expectedMs(target.failureDomain);
   const serviceTimeMs = Math.max(0, end.firstByteMs - roundTripMs - placement.waitMs);
+  serviceTimes.recordAnswer(serviceTimeMs);
   if (serviceTimeMs >= minServiceTimeMs) {
     const mayHaveWaited = placement.waitMs > 0 || (end.answer.head.load?.waiting ?? 0) > 0;
     const isSlow = target.health.slowness(nowMs) >= slowTargetRatio;
--- a/packages/gateway/src/service_time_estimator.ts
+++ b/packages/gateway/src/service_time_estimator.ts
@@ -16,8 +16,14 @@
 /** Maximum ratio of uncached to cached time that is assumed while samples show only one of them. */
 const maxAssumedRatio = 4;
 
+/** Interval of the requests that are sent although every answer so far has taken longer than they can wait. */
+const trialIntervalMs = 2_000;
+
 /** Service time estimates of one service. */
 export class ServiceTimeEstimator {
+  private shortestMs = 0;
+  private hasAnswers = false;
+  private lastTrialAtMs = Number.NEGATIVE_INFINITY;
   private readonly logSamples: number[] = [];
   private nextSampleIndex = 0;
   private cachedMs = initialCachedMs;
@@ -36,6 +42,24 @@
     this.updateEstimates();
   }
 
+  /** Records the service time of any answer, also one that is no sample for the expected time. */
+  recordAnswer(serviceTimeMs: number): void {
+    this.shortestMs = this.hasAnswers ? Math.min(this.shortestMs, serviceTimeMs) : serviceTimeMs;
+    this.hasAnswers = true;
+  }
+
+  /** Shortest service time of an answer so far; 0 before the first one. */
+  minMs(): number {
+    return this.shortestMs;
+  }
+
+  /** True for a few requests, whose answers show whether the service can be faster than it was so far. */
+  takeTrial(nowMs: number): boolean {
+    if (nowMs - this.lastTrialAtMs < trialIntervalMs) return false;
+    this.lastTrialAtMs = nowMs;
+    return true;
+  }
+
   /** Expected service time of a request, for a cached or uncached object. */
   expectedMs(isCached: boolean): number {
     return isCached ? this.cachedMs : this.uncachedMs;
