Do not take the slots of a slow target for free

Change: at a target that is slow, the expected time decides as before. What counts as slow is decided in one place (TargetHealth). The model now decides as the gateway does.

--- a/packages/gateway/__fixtures__/service_simulation.ts
+++ b/packages/gateway/__fixtures__/service_simulation.ts
@@ -224,6 +224,10 @@
       placement !== undefined &&
       admit({
         expectedMs: placement.expectedMs,
+        minExpectedMs:
+          attemptedIds.size > 0 || placement.target.health.isSlow(nowMs)
+            ? placement.expectedMs
+            : this.minExpectedMs(gateway, placement),
         waitMs: placement.waitMs,
         remainingMs: this.load.deadlineMs - elapsedMs,
         latencyBudgetMs: this.load.targetLatencyMs - elapsedMs,
@@ -249,6 +253,13 @@
     this.events.schedule(delayMs, () => this.onArrivalAtTarget(attempt));
   }
 
+  private minExpectedMs(
+    {serviceTime, roundTripTimes}: SimulatedGateway,
+    {target}: Placement,
+  ): number {
+    return roundTripTimes.expectedMs(target.failureDomain) + serviceTime.minMs();
+  }
+
   private countRegion(gateway: SimulatedGateway, to: string, nowMs: number): void {
     const counts = this.countsByRegion[Number(gateway.region.slice(1))];
     if (counts === undefined) return;
@@ -337,6 +348,7 @@
       nowMs,
       Math.max(1, serviceTimeMs / gateway.serviceTime.expectedMs(false)),
     );
+    gateway.serviceTime.recordAnswer(serviceTimeMs);
     gateway.serviceTime.observe(serviceTimeMs, waiting > 0 || waitMs > 0);
     target.recentObjects.recordUse(objectKey, nowMs);
     const elapsedMs = nowMs - arrivedAtMs;
--- a/packages/gateway/src/forwarding.ts
+++ b/packages/gateway/src/forwarding.ts
@@ -212,12 +212,12 @@
   }
 
   /**
-   * Shortest time in which the placement may give an answer. Retries need the expected time, because they are limited
-   * in number.
+   * Shortest time in which the placement may give an answer. It is the expected time at slow targets, whose free slots may
+   * not be free, and for retries, which are limited in number.
    */
   private minExpectedMs({target, expectedMs, waitMs}: Placement): number {
-    if (this.record.sentCount > 0) return expectedMs;
     const {serviceTimes, roundTripTimes, time} = this.parts;
+    if (this.record.sentCount > 0 || target.health.isSlow(time.monotonicMs())) return expectedMs;
     const roundTripMs = roundTripTimes.expectedMs(target.failureDomain);
     const estimator = serviceTimes.of(this.forwarded.service);
     const minMs = roundTripMs + estimator.minMs();
--- a/packages/gateway/src/record_exchange_end.ts
+++ b/packages/gateway/src/record_exchange_end.ts
@@ -36,8 +36,6 @@
 
 /** A request cancelled after this multiple of the expected time shows that the target is slow. */
 const slowCancelRatio = 1.5;
-/** Service times of targets slower than this do not count for the service's estimate. */
-const slowTargetRatio = 1.5;
 /** Shorter service times are ignored, because the network delay dominates them. */
 const minServiceTimeMs = 5;
 
@@ -90,8 +88,9 @@
   serviceTimes.recordAnswer(serviceTimeMs);
   if (serviceTimeMs >= minServiceTimeMs) {
     const mayHaveWaited = placement.waitMs > 0 || (end.answer.head.load?.waiting ?? 0) > 0;
-    const isSlow = target.health.slowness(nowMs) >= slowTargetRatio;
-    if (!isSlow && !target.isCold(nowMs)) serviceTimes.observe(serviceTimeMs, mayHaveWaited);
+    // Service times of slow targets do not count for the service's estimate.
+    if (!target.health.isSlow(nowMs) && !target.isCold(nowMs))
+      serviceTimes.observe(serviceTimeMs, mayHaveWaited);
     // The target itself is slow only if it took longer than for an uncached object.
     target.health.onAnswer(nowMs, Math.max(1, serviceTimeMs / serviceTimes.expectedMs(false)));
   }
--- a/packages/gateway/src/target_health.ts
+++ b/packages/gateway/src/target_health.ts
@@ -17,6 +17,8 @@
 const slownessSmoothing = 0.75;
 /** Half-life of the slowness, so that a target without recent requests gets some again. */
 const slownessHalfLifeMs = 3_000;
+/** A target counts as slow from this multiple of the expected service time on. */
+const slowTargetRatio = 1.5;
 const firstProbeDelayMs = 250;
 const maxProbeDelayMs = 2_000;
 
@@ -104,6 +106,11 @@
     return 1 + (this.lastSlowness - 1) * decay;
   }
 
+  /** True when recent requests took much longer than expected, as at a target with a queue that it does not report. */
+  isSlow(nowMs: number): boolean {
+    return this.slowness(nowMs) >= slowTargetRatio;
+  }
+
   private updateFailureRate(nowMs: number, value: 0 | 1): void {
     this.lastFailureRate =
       failureRateSmoothing * this.failureRate(nowMs) + (1 - failureRateSmoothing) * value;
