Pass heartbeats on, so that each gateway hears of all others in time

Cause: heartbeats went to 32 gateways each 500 ms in turn, and a gateway unheard for 2.5 s counted as dead. With 195 gateways each was heard every 3.5 s, so over a quarter of a healthy fleet counted as dead at any moment; look-ups, the senders to cold and limited targets, and the spread of suspicions take their members from it.

The timeout is 2.65 s where heartbeats are passed on. Suspicions are chosen for each heartbeat: the receivers pass them on.

SWIM would keep the bytes flat as well; it needs probes, suspicions and incarnations, and is not needed up to 300 gateways.

Above 340 gateways the rate of passed-on heartbeats stays behind; not solved.

--- /dev/null
+++ b/packages/gateway/__tests__/membership_at_scale.test.ts
@@ -0,0 +1,71 @@
+/** What gateways believe of each other in fleets of different sizes, simulated without a network. */
+import type {GatewayTraffic} from '../__fixtures__/membership_simulation';
+import {SimulatedFleet} from '../__fixtures__/membership_simulation';
+
+interface FleetCase {
+  readonly gatewayCount: number;
+  readonly lossRate: number;
+}
+
+const cases: readonly FleetCase[] = [
+  {gatewayCount: 10, lossRate: 0.05},
+  {gatewayCount: 30, lossRate: 0.05},
+  {gatewayCount: 100, lossRate: 0.05},
+  {gatewayCount: 195, lossRate: 0.05},
+  {gatewayCount: 300, lossRate: 0.05},
+];
+
+const settleMs = 4_000;
+const observeMs = 4_000;
+const observeIntervalMs = 100;
+const maxDetectionMs = 3_000;
+/** Messages that a gateway may send in a second, whatever the size of the fleet. */
+const maxMessagesPerS = 64;
+const maxBytesPerS = 64 * 1_024;
+
+/** What was seen in the life of one fleet. */
+interface FleetResult {
+  readonly falselyDeadCount: number;
+  readonly traffic: GatewayTraffic;
+  /** Gateways that still count a gateway as alive some time after its crash. */
+  readonly believerCount: number;
+}
+
+function playFleet({gatewayCount, lossRate}: FleetCase): FleetResult {
+  const fleet = new SimulatedFleet({gatewayCount, lossRate, seed: 1});
+  fleet.run(settleMs);
+  let falselyDeadCount = 0;
+  for (let elapsedMs = 0; elapsedMs < observeMs; elapsedMs += observeIntervalMs) {
+    fleet.run(observeIntervalMs);
+    falselyDeadCount += fleet.countFalselyDead();
+  }
+  const traffic = fleet.trafficPerGateway();
+  const [crashed = ''] = fleet.names;
+  fleet.kill(crashed);
+  fleet.run(maxDetectionMs);
+  return {falselyDeadCount, traffic, believerCount: fleet.countBelievers(crashed)};
+}
+
+describe.each(cases)('$gatewayCount gateways', fleetCase => {
+  let result: FleetResult;
+
+  beforeAll(() => {
+    result = playFleet(fleetCase);
+  });
+
+  /** Guards against a fleet in which many gateways count as dead at any moment because they are heard in turn. */
+  test('no running gateway counts as dead', () => {
+    expect(result.falselyDeadCount).toBe(0);
+  });
+
+  /** Guards against look-up answers that name a crashed gateway, and against senders that are no longer there. */
+  test('a crashed gateway is known to 99% of the others within 3 s', () => {
+    expect(result.believerCount).toBeLessThanOrEqual(fleetCase.gatewayCount * 0.01);
+  });
+
+  /** Guards against messages whose number grows with the fleet, or which become too large. */
+  test('a gateway sends a bounded number of messages and bytes', () => {
+    expect(result.traffic.messagesPerS).toBeLessThanOrEqual(maxMessagesPerS);
+    expect(result.traffic.bytesPerS).toBeLessThanOrEqual(maxBytesPerS);
+  });
+});
--- a/packages/gateway/__tests__/peer_table.test.ts
+++ b/packages/gateway/__tests__/peer_table.test.ts
@@ -1,6 +1,6 @@
-import {ManualTime} from '@cuminsill/utils';
+import {hash32, ManualTime} from '@cuminsill/utils';
 import type {GatewayRecord} from '../src/gateway_types';
-import {decodePeerMessage} from '../src/peer_message';
+import {decodePeerMessage, encodePeerMessage} from '../src/peer_message';
 import {PeerTable, heartbeatTimeoutMs} from '../src/peer_table';
 
 function record(name: string): GatewayRecord {
@@ -64,6 +64,53 @@
     expect(serving()).toEqual(['p']);
   });
 
+  describe('heartbeats that another gateway passes on', () => {
+    const relayed = {
+      nameHash: hash32('q'),
+      startedAtMs: 100,
+      sequence: 4,
+      state: 'serving',
+    } as const;
+    const cases: ReadonlyArray<readonly [string, object, number, readonly string[]]> = [
+      ['name a peer', {ageMs: 100}, 0, ['q']],
+      ['name no peer of another name', {ageMs: 100, nameHash: 1}, 0, []],
+      ['count from when they were sent', {ageMs: 1_000}, heartbeatTimeoutMs - 900, []],
+      ['say that a peer is leaving', {ageMs: 100, state: 'leaving'}, 0, []],
+    ];
+    /** Guards against peers that count as alive or dead at other times at each gateway. */
+    test.each(cases)('%s', (_name, changes, waitMs, expected) => {
+      const {time, table, serving} = setUp();
+      table.recordRelayed([{...relayed, ageMs: 0, ...changes}]);
+      time.advance(waitMs);
+      expect(serving()).toEqual(expected);
+    });
+
+    /** Guards against old heartbeats that circulate and keep a crashed gateway alive. */
+    test('do not replace a later heartbeat', () => {
+      const {time, table, serving} = setUp();
+      table.recordHeartbeat({...heartbeat, name: 'q', sequence: 4});
+      time.advance(heartbeatTimeoutMs - 10);
+      table.recordRelayed([{...relayed, ageMs: 0}]);
+      time.advance(20);
+      expect(serving()).toEqual([]);
+    });
+
+    test('are passed on with their age, the latest first and not for long', () => {
+      const {time, table} = setUp();
+      table.recordHeartbeat(heartbeat);
+      time.advance(400);
+      table.recordRelayed([{...relayed, ageMs: 100}]);
+      const ages = () => table.recentHeartbeats(9).map(({nameHash, ageMs}) => [nameHash, ageMs]);
+      expect(ages()).toEqual([
+        [hash32('q'), 100],
+        [hash32('p'), 400],
+      ]);
+      expect(table.recentHeartbeats(1)).toHaveLength(1);
+      time.advance(1_200);
+      expect(ages()).toEqual([[hash32('q'), 1_300]]);
+    });
+  });
+
   test('forgets a peer whose record is removed', () => {
     const {table, serving} = setUp();
     table.recordHeartbeat(heartbeat);
@@ -76,8 +123,24 @@
 describe('decodePeerMessage', () => {
   const suspicion = {fingerprint: 'f', targetIds: ['t', 'u'], untilMs: 5};
   const message = {...heartbeat, suspicions: [{...suspicion, repeatTargetIds: ['u']}]};
-  test('decodes a valid heartbeat', () => {
-    expect(decodePeerMessage(JSON.stringify(message))).toEqual(message);
+  const relayed = [
+    {
+      nameHash: 2 ** 32 - 1,
+      startedAtMs: 1_764_000_000_000,
+      sequence: 7,
+      state: 'leaving',
+      ageMs: 9,
+    },
+    {nameHash: 0, startedAtMs: 0, sequence: 2 ** 32 - 1, state: 'starting', ageMs: 65_535},
+  ] as const;
+  test('decodes what it encodes', () => {
+    const full = {...message, relayed};
+    expect(decodePeerMessage(encodePeerMessage(full))).toEqual(full);
+  });
+
+  // Guards against ignoring gateways of an earlier version during an update.
+  test('decodes a heartbeat that passes nothing on', () => {
+    expect(decodePeerMessage(JSON.stringify(message))).toEqual({...message, relayed: []});
   });
 
   // Guards against ignoring the losses that a gateway of an earlier version reports during an update.
@@ -93,6 +156,11 @@
     ['no name', JSON.stringify({...message, name: undefined})],
     ['an unknown state', JSON.stringify({...message, state: 'idle'})],
     ['a negative sequence', JSON.stringify({...message, sequence: -1})],
+    ['half a row of a passed-on heartbeat', JSON.stringify({...message, relayed: 'AAAA'})],
+    [
+      'an unknown state of a passed-on heartbeat',
+      JSON.stringify({...message, relayed: Buffer.alloc(17, 9).toString('base64')}),
+    ],
     ['a broken suspicion', JSON.stringify({...message, suspicions: [{fingerprint: 'f'}]})],
   ];
   test.each(unreadable)('rejects %s', (_name, text) => {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -27,6 +27,7 @@
 import type {FeedState, ObjectFeed} from './object_feed';
 import {RoundTripTimes} from './round_trip_times';
 import {PeerExchange} from './peer_exchange';
+import {relayedCount} from './peer_gossip';
 import type {PeerMessage} from './peer_message';
 import type {PeerState} from './peer_table';
 import {PeerTable} from './peer_table';
@@ -243,8 +244,9 @@
       nextHeartbeat: () => this.nextHeartbeat(),
       peerAddresses: () => parts.peers.otherGateways().map(({peerAddress}) => peerAddress),
       onHeartbeat: message => {
-        const isNewProcess = parts.peers.recordHeartbeat(message);
-        if (isNewProcess) this.peerExchange.spreadAllAgain();
+        const isNewSender = parts.peers.recordHeartbeat(message);
+        const isNewRelayed = parts.peers.recordRelayed(message.relayed);
+        if (isNewSender || isNewRelayed) this.peerExchange.spreadAllAgain();
         parts.poison.mergeSuspicions(message.suspicions, message.name);
       },
       onSuspicionsLeftOut: count => parts.metrics.addSuspicionsLeftOut(count),
@@ -255,11 +257,13 @@
   private nextHeartbeat(): PeerMessage {
     if (this.peerState === 'starting' && this.isReady()) this.peerState = 'serving';
     this.heartbeatSequence += 1;
+    const {peers} = this.parts;
     return {
       name: this.ownRecord.name,
       startedAtMs: this.startedAtMs,
       sequence: this.heartbeatSequence,
       state: this.peerState,
+      relayed: peers.recentHeartbeats(relayedCount(peers.listedGatewayCount() - 1)),
       suspicions: this.parts.poison.suspicions(),
     };
   }
--- a/packages/gateway/src/peer_exchange.ts
+++ b/packages/gateway/src/peer_exchange.ts
@@ -1,17 +1,17 @@
 /**
- * Heartbeats between gateways over UDP. A heartbeat carries the sender's state and the requests that it suspects of
- * crashing targets.
+ * Heartbeats between gateways over UDP. A heartbeat carries the sender's state, the latest heartbeats of other gateways, and
+ * the requests that it suspects of crashing targets. In a large fleet it goes to a few gateways, which pass its content on.
  */
 import * as dgram from 'node:dgram';
 import type {PoisonSuspicion, SocketAddress} from '@cuminsill/types';
-import {decodePeerMessage} from './peer_message';
+import type {Random} from './peer_gossip';
+import {chooseReceivers} from './peer_gossip';
+import {decodePeerMessage, encodePeerMessage} from './peer_message';
 import type {PeerMessage} from './peer_message';
 import {SuspicionRotation} from './suspicion_rotation';
 
 /** Interval of heartbeats. */
 export const heartbeatIntervalMs = 500;
-/** With more peers than this, each heartbeat goes to the next part of the list. */
-export const maxPeersPerHeartbeat = 32;
 /** Keeps a datagram below the usual size of a packet. */
 const maxSuspicionsPerDatagram = 8;
 /** Bounds the traffic of a heartbeat. More than one datagram is sent only while there are suspicions to spread. */
@@ -31,13 +31,12 @@
 export class PeerExchange {
   private readonly socket = dgram.createSocket('udp4');
   private timer: NodeJS.Timeout | undefined;
-  private nextPeerIndex = 0;
   private readonly rotation = new SuspicionRotation();
-  private carriedSuspicions: readonly PoisonSuspicion[] = [];
 
   constructor(
     private readonly address: SocketAddress,
     private readonly handlers: PeerExchangeHandlers,
+    private readonly random: Random = Math.random,
   ) {}
 
   /** Starts to listen and to send. Rejects when the port is in use. */
@@ -53,25 +52,24 @@
 
   /** Sends a heartbeat at once, so that other gateways learn of a change without delay. */
   sendHeartbeat(): void {
-    const {suspicions, ...head} = this.handlers.nextHeartbeat();
-    const peers = this.handlers.peerAddresses();
-    // All peers get the same suspicions before the next ones are chosen.
-    const startsRound = this.nextPeerIndex === 0 || this.nextPeerIndex >= peers.length;
-    if (startsRound) this.chooseSuspicions(suspicions);
-    const datagrams = partsOf(this.carriedSuspicions, maxSuspicionsPerDatagram).map(part =>
-      Buffer.from(JSON.stringify({...head, suspicions: part})),
-    );
-    for (const receiver of this.nextReceivers(peers)) {
+    const {suspicions, relayed, ...head} = this.handlers.nextHeartbeat();
+    const receivers = chooseReceivers(this.handlers.peerAddresses(), this.random);
+    const parts = partsOf(this.chooseSuspicions(suspicions), maxSuspicionsPerDatagram);
+    const datagrams = parts.map((part, index) => {
+      const passedOn = index === 0 ? relayed : [];
+      return Buffer.from(encodePeerMessage({...head, relayed: passedOn, suspicions: part}));
+    });
+    for (const receiver of receivers) {
       for (const data of datagrams) this.send(data, receiver);
     }
   }
 
-  private chooseSuspicions(suspicions: readonly PoisonSuspicion[]): void {
+  private chooseSuspicions(suspicions: readonly PoisonSuspicion[]): readonly PoisonSuspicion[] {
     const unsentCount = this.rotation.countUnsent(suspicions);
     const maxCount = maxSuspicionsPerDatagram * maxDatagramsPerHeartbeat;
     const count = Math.min(maxCount, Math.max(maxSuspicionsPerDatagram, unsentCount));
-    this.carriedSuspicions = this.rotation.next(suspicions, count);
     if (unsentCount > count) this.handlers.onSuspicionsLeftOut(unsentCount - count);
+    return this.rotation.next(suspicions, count);
   }
 
   private send(data: Buffer, {host, port}: SocketAddress): void {
@@ -90,12 +88,6 @@
     this.socket.close();
   }
 
-  private nextReceivers(peers: readonly SocketAddress[]): readonly SocketAddress[] {
-    const start = this.nextPeerIndex < peers.length ? this.nextPeerIndex : 0;
-    this.nextPeerIndex = start + maxPeersPerHeartbeat;
-    return peers.slice(start, this.nextPeerIndex);
-  }
-
   private receive(data: Buffer, from: string): void {
     const message = decodePeerMessage(data.toString('utf8'));
     if (message === undefined) this.handlers.onUnreadable(from);
--- a/packages/gateway/src/peer_message.ts
+++ b/packages/gateway/src/peer_message.ts
@@ -1,4 +1,4 @@
-/** Wire format of heartbeats between gateways: JSON in one datagram. */
+/** Wire format of heartbeats between gateways: JSON in one datagram, with the passed-on heartbeats in binary rows. */
 import type {PoisonSuspicion} from '@cuminsill/types';
 import {
   asObject,
@@ -8,10 +8,12 @@
   parseJson,
   stringField,
 } from '@cuminsill/utils';
-import type {PeerHeartbeat, PeerState} from './peer_table';
+import type {PeerHeartbeat, PeerState, RelayedHeartbeat} from './peer_table';
+import {decodeRelayed, encodeRelayed} from './relayed_heartbeats';
 
 /** Content of a heartbeat. */
 export interface PeerMessage extends PeerHeartbeat {
+  readonly relayed: readonly RelayedHeartbeat[];
   readonly suspicions: readonly PoisonSuspicion[];
 }
 
@@ -26,9 +28,20 @@
   const sequence = countField(from, 'sequence');
   const state = stringField(from, 'state');
   const suspicions = listField(from, 'suspicions', decodeSuspicion);
+  // Gateways of earlier versions pass nothing on.
+  const relayed = decodeRelayed(stringField(from, 'relayed') ?? '');
   if (name === undefined || startedAtMs === undefined || sequence === undefined) return undefined;
-  if (state === undefined || !peerStates.has(state) || suspicions === undefined) return undefined;
-  return {name, startedAtMs, sequence, state: state as PeerState, suspicions};
+  if (!isPeerState(state) || suspicions === undefined || relayed === undefined) return undefined;
+  return {name, startedAtMs, sequence, state, relayed, suspicions};
+}
+
+/** Encodes a heartbeat. */
+export function encodePeerMessage({relayed, ...message}: PeerMessage): string {
+  return JSON.stringify({...message, relayed: encodeRelayed(relayed)});
+}
+
+function isPeerState(value: unknown): value is PeerState {
+  return typeof value === 'string' && peerStates.has(value);
 }
 
 function decodeSuspicion(value: unknown): PoisonSuspicion | undefined {
--- a/packages/gateway/src/peer_table.ts
+++ b/packages/gateway/src/peer_table.ts
@@ -3,8 +3,10 @@
  * a crashed gateway leaves the look-up answers without a write to the store.
  */
 import type {TimeSource} from '@cuminsill/utils';
+import {hash32} from '@cuminsill/utils';
 import type {GatewayRecord} from './gateway_types';
 import type {ObjectChanges, ObjectList, SourceObject} from './object_source';
+import {needsRelays} from './peer_gossip';
 
 /** State of a gateway in its heartbeats. */
 export type PeerState = 'starting' | 'serving' | 'leaving';
@@ -19,20 +21,38 @@
   readonly state: PeerState;
 }
 
+/** The latest heartbeat of a gateway, as another one passes it on. */
+export interface RelayedHeartbeat {
+  /** Hash of the gateway's name. */
+  readonly nameHash: number;
+  readonly startedAtMs: number;
+  readonly sequence: number;
+  readonly state: PeerState;
+  /** Time since the gateway sent it, in milliseconds. */
+  readonly ageMs: number;
+}
+
 /** A gateway without a heartbeat for this long counts as dead and is not named to callers. */
 export const heartbeatTimeoutMs = 2_500;
+/** The same where heartbeats are passed on, which takes longer. */
+export const relayedHeartbeatTimeoutMs = 2_650;
 
 /** The list of active gateways may be this old, which is short compared with `heartbeatTimeoutMs`. */
 const activeNamesRefreshMs = 100;
 
+/** Older heartbeats are not passed on; all gateways have heard them or newer ones. */
+const maxRelayedAgeMs = 1_500;
+
 interface ReceivedHeartbeat {
   readonly heartbeat: PeerHeartbeat;
+  /** When it was sent, as far as this gateway can tell. */
   readonly heardAtMs: number;
 }
 
 /** The listed gateways and their latest heartbeats. */
 export class PeerTable {
   private records: ReadonlyMap<string, GatewayRecord> = new Map();
+  private nameByHash: ReadonlyMap<number, string> = new Map();
   private activeNames: readonly string[] = [];
   private activeNamesUpdatedAtMs = Number.NEGATIVE_INFINITY;
   private readonly lastHeartbeats = new Map<string, ReceivedHeartbeat>();
@@ -44,16 +64,17 @@
 
   /** Replaces all records. */
   replace(list: ObjectList<GatewayRecord>): void {
-    this.records = new Map();
-    for (const object of list.objects) this.put(object);
+    this.setRecords(new Map(list.objects.flatMap(readableRecords)));
   }
 
   /** Applies changed and deleted records. */
   apply({changes}: ObjectChanges<GatewayRecord>): void {
+    const records = new Map(this.records);
     for (const {object, deleted} of changes) {
-      if (!deleted) this.put(object);
-      else this.records = withoutKey(this.records, object.name);
+      if (deleted) records.delete(object.name);
+      else for (const [name, record] of readableRecords(object)) records.set(name, record);
     }
+    this.setRecords(records);
   }
 
   /**
@@ -61,9 +82,41 @@
    * first heartbeat of a process.
    */
   recordHeartbeat(heartbeat: PeerHeartbeat): boolean {
+    return this.recordSent(heartbeat, 0);
+  }
+
+  /** Records heartbeats that another gateway passed on. Returns true if one of them is the first of its process. */
+  recordRelayed(relayed: readonly RelayedHeartbeat[]): boolean {
+    let hasNewProcess = false;
+    for (const {nameHash, ageMs, ...heartbeat} of relayed) {
+      const name = this.nameByHash.get(nameHash);
+      if (name === undefined || name === this.ownRecord.name) continue;
+      if (this.recordSent({name, ...heartbeat}, ageMs)) hasNewProcess = true;
+    }
+    return hasNewProcess;
+  }
+
+  /** Recent heartbeats of others, to be passed on, the latest first: the others have been passed on already. */
+  recentHeartbeats(maxCount: number): readonly RelayedHeartbeat[] {
+    const nowMs = this.time.monotonicMs();
+    return [...this.lastHeartbeats.values()]
+      .filter(({heardAtMs}) => nowMs - heardAtMs <= maxRelayedAgeMs)
+      .sort((a, b) => b.heardAtMs - a.heardAtMs)
+      .slice(0, maxCount)
+      .map(({heartbeat, heardAtMs}) => ({
+        nameHash: hash32(heartbeat.name),
+        startedAtMs: heartbeat.startedAtMs,
+        sequence: heartbeat.sequence,
+        state: heartbeat.state,
+        ageMs: Math.round(nowMs - heardAtMs),
+      }));
+  }
+
+  private recordSent(heartbeat: PeerHeartbeat, ageMs: number): boolean {
     const known = this.lastHeartbeats.get(heartbeat.name)?.heartbeat;
     if (known !== undefined && !isNewer(heartbeat, known)) return false;
-    this.lastHeartbeats.set(heartbeat.name, {heartbeat, heardAtMs: this.time.monotonicMs()});
+    const heardAtMs = this.time.monotonicMs() - ageMs;
+    this.lastHeartbeats.set(heartbeat.name, {heartbeat, heardAtMs});
     return known?.startedAtMs !== heartbeat.startedAtMs;
   }
 
@@ -98,7 +151,7 @@
 
   /** Number of listed gateways, alive or not; includes this one. */
   listedGatewayCount(): number {
-    return this.otherGateways().length + 1;
+    return this.records.size + (this.isOwnRecordListed ? 0 : 1);
   }
 
   /**
@@ -112,9 +165,9 @@
     return (inRegion + 1) / this.listedGatewayCount();
   }
 
-  private put({name, content}: SourceObject<GatewayRecord>): void {
-    if (content === undefined || content.name !== name) return;
-    this.records = new Map(this.records).set(name, content);
+  private setRecords(records: ReadonlyMap<string, GatewayRecord>): void {
+    this.records = records;
+    this.nameByHash = new Map([...records.keys()].map(name => [hash32(name), name]));
   }
 
   private isServing(name: string): boolean {
@@ -123,9 +176,11 @@
 
   private isAlive(name: string): boolean {
     const received = this.lastHeartbeats.get(name);
-    return (
-      received !== undefined && this.time.monotonicMs() - received.heardAtMs <= heartbeatTimeoutMs
-    );
+    if (received === undefined) return false;
+    const timeoutMs = needsRelays(this.listedGatewayCount() - 1)
+      ? relayedHeartbeatTimeoutMs
+      : heartbeatTimeoutMs;
+    return this.time.monotonicMs() - received.heardAtMs <= timeoutMs;
   }
 }
 
@@ -138,11 +193,10 @@
   return left.length === right.length && left.every((name, index) => name === right[index]);
 }
 
-function withoutKey<Value>(
-  map: ReadonlyMap<string, Value>,
-  key: string,
-): ReadonlyMap<string, Value> {
-  const copy = new Map(map);
-  copy.delete(key);
-  return copy;
+/** The record of an object with its name; none when it cannot be read. */
+function readableRecords({
+  name,
+  content,
+}: SourceObject<GatewayRecord>): ReadonlyArray<readonly [string, GatewayRecord]> {
+  return content?.name === name ? [[name, content]] : [];
 }
--- /dev/null
+++ b/packages/gateway/src/relayed_heartbeats.ts
@@ -0,0 +1,46 @@
+/**
+ * Encodes the heartbeats that a heartbeat passes on: rows of fixed length in base64, so that dozens of them fit into one
+ * packet.
+ */
+import type {PeerState, RelayedHeartbeat} from './peer_table';
+
+/** The index of a state is its code. */
+const stateCodes: readonly PeerState[] = ['starting', 'serving', 'leaving'];
+const maxAgeMs = 0xffff;
+
+const offsets = {nameHash: 0, startedAtMs: 4, sequence: 10, state: 14, ageMs: 15};
+const rowLength = 17;
+const startedAtLength = 6;
+
+/** Encodes heartbeats. */
+export function encodeRelayed(heartbeats: readonly RelayedHeartbeat[]): string {
+  const rows = Buffer.alloc(heartbeats.length * rowLength);
+  heartbeats.forEach(({nameHash, startedAtMs, sequence, state, ageMs}, index) => {
+    const start = index * rowLength;
+    rows.writeUInt32BE(nameHash, start + offsets.nameHash);
+    rows.writeUIntBE(startedAtMs, start + offsets.startedAtMs, startedAtLength);
+    rows.writeUInt32BE(sequence, start + offsets.sequence);
+    rows.writeUInt8(stateCodes.indexOf(state), start + offsets.state);
+    rows.writeUInt16BE(Math.min(maxAgeMs, ageMs), start + offsets.ageMs);
+  });
+  return rows.toString('base64');
+}
+
+/** Decodes heartbeats; undefined when the text has no whole rows or an unknown state. */
+export function decodeRelayed(text: string): readonly RelayedHeartbeat[] | undefined {
+  const rows = Buffer.from(text, 'base64');
+  if (rows.length % rowLength !== 0) return undefined;
+  const heartbeats: RelayedHeartbeat[] = [];
+  for (let start = 0; start < rows.length; start += rowLength) {
+    const state = stateCodes[rows.readUInt8(start + offsets.state)];
+    if (state === undefined) return undefined;
+    heartbeats.push({
+      nameHash: rows.readUInt32BE(start + offsets.nameHash),
+      startedAtMs: rows.readUIntBE(start + offsets.startedAtMs, startedAtLength),
+      sequence: rows.readUInt32BE(start + offsets.sequence),
+      state,
+      ageMs: rows.readUInt16BE(start + offsets.ageMs),
+    });
+  }
+  return heartbeats;
+}
