--- a/packages/gateway/src/record_exchange_end.ts
+++ b/packages/gateway/src/record_exchange_end.ts
@@ -89,8 +89,9 @@
   if (serviceTimeMs >= minServiceTimeMs) {
     const mayHaveWaited = placement.waitMs > 0 || (end.answer.head.load?.waiting ?? 0) > 0;
     // Service times of slow targets do not count for the service's estimate.
-    if (!target.health.isSlow(nowMs) && !target.isCold(nowMs))
-      {serviceTimes.observe(serviceTimeMs, mayHaveWaited);}
+    if (!target.health.isSlow(nowMs) && !target.isCold(nowMs)) {
+      serviceTimes.observe(serviceTimeMs, mayHaveWaited);
+    }
     // The target itself is slow only if it took longer than for an uncached object.
     target.health.onAnswer(nowMs, Math.max(1, serviceTimeMs / serviceTimes.expectedMs(false)));
   }
