Lift a refusal at all gateways when one has seen an answer since

The log shows that gateways which had seen answers since the losses cleared their own suspicion, but told no other gateway, so those that had quarantined the request refused it on; and that a loss was dated by when the end of the process was confirmed, up to seconds later, so that answers in between counted as older than it.

Change: heartbeats carry answers to suspected requests (shared_answers); a gateway that receives one removes a suspicion whose last loss is older. A loss is dated by when the connection was lost, and does not count if the request was answered since. An answer without losses before it is not shared; losses after an answer count as before, three of them then.

Ruled out: a trial of a quarantined request from time to time; it would let a request that crashes targets crash more of them.

--- a/packages/gateway/__fixtures__/membership_simulation.ts
+++ b/packages/gateway/__fixtures__/membership_simulation.ts
@@ -149,6 +149,7 @@
       state: 'serving',
       relayed,
       suspicions: [],
+      answers: [],
     };
     const bytes = encodePeerMessage(message).length;
     for (const receiver of chooseReceivers(peers, this.random)) {
--- a/packages/gateway/__tests__/peer_exchange.test.ts
+++ b/packages/gateway/__tests__/peer_exchange.test.ts
@@ -42,7 +42,7 @@
             sequence,
             state: 'serving',
           } as const;
-          return {...head, relayed: [], suspicions: carried};
+          return {...head, relayed: [], suspicions: carried, answers: []};
         },
         peerAddresses: () => peers,
         onHeartbeat: message => message.suspicions.forEach(s => received.add(s.fingerprint)),
--- a/packages/gateway/__tests__/peer_table.test.ts
+++ b/packages/gateway/__tests__/peer_table.test.ts
@@ -134,13 +134,18 @@
     {nameHash: 0, startedAtMs: 0, sequence: 2 ** 32 - 1, state: 'starting', ageMs: 65_535},
   ] as const;
   test('decodes what it encodes', () => {
-    const full = {...message, relayed};
+    const answers = [{fingerprint: 'g', answeredAtMs: 6}];
+    const full = {...message, relayed, answers};
     expect(decodePeerMessage(encodePeerMessage(full))).toEqual(full);
   });
 
   // Guards against ignoring gateways of an earlier version during an update.
   test('decodes a heartbeat that passes nothing on', () => {
-    expect(decodePeerMessage(JSON.stringify(message))).toEqual({...message, relayed: []});
+    expect(decodePeerMessage(JSON.stringify(message))).toEqual({
+      ...message,
+      relayed: [],
+      answers: [],
+    });
   });
 
   // Guards against ignoring the losses that a gateway of an earlier version reports during an update.
@@ -161,6 +166,7 @@
       'an unknown state of a passed-on heartbeat',
       JSON.stringify({...message, relayed: Buffer.alloc(17, 9).toString('base64')}),
     ],
+    ['a broken answer', JSON.stringify({...message, answers: [{fingerprint: 'f'}]})],
     ['a broken suspicion', JSON.stringify({...message, suspicions: [{fingerprint: 'f'}]})],
   ];
   test.each(unreadable)('rejects %s', (_name, text) => {
--- a/packages/gateway/__tests__/poison_tracker.test.ts
+++ b/packages/gateway/__tests__/poison_tracker.test.ts
@@ -7,9 +7,11 @@
 
 type Line = Readonly<Record<string, unknown>>;
 
-function makeTracker(): {readonly tracker: PoisonTracker; readonly lines: Line[]} {
+function makeTracker(time = new ManualTime(1_700_000_000_000)): {
+  readonly tracker: PoisonTracker;
+  readonly lines: Line[];
+} {
   const lines: Line[] = [];
-  const time = new ManualTime(1_700_000_000_000);
   const output = {
     write: (text: string) => lines.push(JSON.parse(text) as Line),
     takeDropped: () => 0,
@@ -36,15 +38,15 @@
 const evidenceCases: readonly EvidenceCase[] = [
   {
     name: 'a lost target',
-    act: tracker => tracker.recordLostTarget(lossAt('i-1@1')),
+    act: tracker => tracker.recordLostTarget(lossAt('i-1@1'), 0),
     events: ['suspected'],
     lastLine: {lostTargetIds: ['i-1@1'], answeredBefore: false},
   },
   {
     name: 'a second lost target, which quarantines the request',
     act: tracker => {
-      tracker.recordLostTarget(lossAt('i-1@1'));
-      tracker.recordLostTarget(lossAt('i-2@1'));
+      tracker.recordLostTarget(lossAt('i-1@1'), 0);
+      tracker.recordLostTarget(lossAt('i-2@1'), 0);
     },
     events: ['suspected', 'suspected', 'quarantined'],
     lastLine: {lostTargetIds: ['i-1@1', 'i-2@1'], reason: 'own evidence'},
@@ -64,7 +66,7 @@
   {
     name: 'an answer to a suspected request',
     act: tracker => {
-      tracker.recordLostTarget(lossAt('i-1@1'));
+      tracker.recordLostTarget(lossAt('i-1@1'), 0);
       tracker.recordAnswered('f', 'i-2', 200);
     },
     events: ['suspected', 'cleared'],
@@ -73,7 +75,7 @@
   {
     name: 'an answer with a server error, which clears nothing',
     act: tracker => {
-      tracker.recordLostTarget(lossAt('i-1@1'));
+      tracker.recordLostTarget(lossAt('i-1@1'), 0);
       tracker.recordAnswered('f', 'i-2', 500);
     },
     events: ['suspected'],
@@ -83,7 +85,7 @@
     name: 'a target that is lost after an answer',
     act: tracker => {
       tracker.recordAnswered('f', 'i-2', 200);
-      tracker.recordLostTarget(lossAt('i-1@1'));
+      tracker.recordLostTarget(lossAt('i-1@1'), 0);
     },
     events: ['suspected'],
     lastLine: {answeredBefore: true},
@@ -105,3 +107,89 @@
   );
   expect(lines.at(-1)).toMatchObject({fingerprint: 'f', ...lastLine});
 });
+
+describe('answers that another gateway has seen', () => {
+  /** Exchanges what the heartbeats of two gateways carry. */
+  const exchange = (a: PoisonTracker, b: PoisonTracker) => {
+    for (const [from, to] of [
+      [a, b],
+      [b, a],
+      [a, b],
+    ] as const) {
+      to.mergeSuspicions(from.suspicions(), 'peer');
+      to.mergeAnswers(from.takeSharedAnswers(), 'peer');
+    }
+  };
+
+  const loseTwice = (tracker: PoisonTracker) => {
+    tracker.recordLostTarget(lossAt('i-1@1'), 0);
+    tracker.recordLostTarget(lossAt('i-2@1'), 0);
+  };
+
+  interface AnswerCase {
+    readonly name: string;
+    readonly act: (first: PoisonTracker, second: PoisonTracker, time: ManualTime) => void;
+    readonly isQuarantined: boolean;
+  }
+
+  const answerCases: readonly AnswerCase[] = [
+    {
+      name: 'an answer after the losses, at a gateway that did not know of them, lifts the refusal',
+      act: (first, second) => {
+        loseTwice(first);
+        second.recordAnswered('f', 'i-3', 200);
+      },
+      isQuarantined: false,
+    },
+    {
+      name: 'an answer at a gateway that knew of the losses lifts the refusal at the others',
+      act: (first, second) => {
+        loseTwice(first);
+        exchange(first, second);
+        second.recordAnswered('f', 'i-3', 200);
+      },
+      isQuarantined: false,
+    },
+    {
+      name: 'a server error lifts nothing',
+      act: (first, second) => {
+        loseTwice(first);
+        second.recordAnswered('f', 'i-3', 500);
+      },
+      isQuarantined: true,
+    },
+    {
+      name: 'an answer after the losses lifts the refusal though they are confirmed only later',
+      act: (first, second, time) => {
+        second.recordAnswered('f', 'i-3', 200);
+        time.advance(700);
+        first.recordLostTarget(lossAt('i-1@1'), 800);
+        first.recordLostTarget(lossAt('i-2@1'), 800);
+      },
+      isQuarantined: false,
+    },
+    {
+      name: 'losses after the answer count',
+      act: (first, second, time) => {
+        second.recordAnswered('f', 'i-3', 200);
+        exchange(first, second);
+        time.advance(1);
+        loseTwice(first);
+        first.recordLostTarget(lossAt('i-4@1'), 0);
+      },
+      isQuarantined: true,
+    },
+  ];
+  /** Guards against frequent requests that stay refused everywhere because they were in flight where targets crashed. */
+  test.each(answerCases)('$name', ({act, isQuarantined}) => {
+    const time = new ManualTime(1_700_000_000_000);
+    const [first, second] = [makeTracker(time).tracker, makeTracker(time).tracker];
+    act(first, second, time);
+    time.advance(1);
+    exchange(first, second);
+    expect([first.isQuarantined('f'), second.isQuarantined('f')]).toEqual([
+      isQuarantined,
+      isQuarantined,
+    ]);
+  });
+});
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -248,6 +248,7 @@
         const isNewRelayed = parts.peers.recordRelayed(message.relayed);
         if (isNewSender || isNewRelayed) this.peerExchange.spreadAllAgain();
         parts.poison.mergeSuspicions(message.suspicions, message.name);
+        parts.poison.mergeAnswers(message.answers, message.name);
       },
       onSuspicionsLeftOut: count => parts.metrics.addSuspicionsLeftOut(count),
       onUnreadable: from => parts.log.event('peer', {event: 'unreadable heartbeat', from}),
@@ -265,6 +266,7 @@
       state: this.peerState,
       relayed: peers.recentHeartbeats(relayedCount(peers.listedGatewayCount() - 1)),
       suspicions: this.parts.poison.suspicions(),
+      answers: this.parts.poison.takeSharedAnswers(),
     };
   }
 
--- a/packages/gateway/src/peer_exchange.ts
+++ b/packages/gateway/src/peer_exchange.ts
@@ -52,12 +52,12 @@
 
   /** Sends a heartbeat at once, so that other gateways learn of a change without delay. */
   sendHeartbeat(): void {
-    const {suspicions, relayed, ...head} = this.handlers.nextHeartbeat();
+    const {suspicions, relayed, answers, ...head} = this.handlers.nextHeartbeat();
     const receivers = chooseReceivers(this.handlers.peerAddresses(), this.random);
     const parts = partsOf(this.chooseSuspicions(suspicions), maxSuspicionsPerDatagram);
     const datagrams = parts.map((part, index) => {
-      const passedOn = index === 0 ? relayed : [];
-      return Buffer.from(encodePeerMessage({...head, relayed: passedOn, suspicions: part}));
+      const inFirst = index === 0 ? {relayed, answers} : {relayed: [], answers: []};
+      return Buffer.from(encodePeerMessage({...head, ...inFirst, suspicions: part}));
     });
     for (const receiver of receivers) {
       for (const data of datagrams) this.send(data, receiver);
--- a/packages/gateway/src/peer_message.ts
+++ b/packages/gateway/src/peer_message.ts
@@ -1,5 +1,5 @@
 /** Wire format of heartbeats between gateways: JSON in one datagram, with the passed-on heartbeats in binary rows. */
-import type {PoisonSuspicion} from '@cuminsill/types';
+import type {AnsweredRequest, PoisonSuspicion} from '@cuminsill/types';
 import {
   asObject,
   countField,
@@ -15,6 +15,7 @@
 export interface PeerMessage extends PeerHeartbeat {
   readonly relayed: readonly RelayedHeartbeat[];
   readonly suspicions: readonly PoisonSuspicion[];
+  readonly answers: readonly AnsweredRequest[];
 }
 
 const peerStates: ReadonlySet<string> = new Set<PeerState>(['starting', 'serving', 'leaving']);
@@ -28,11 +29,13 @@
   const sequence = countField(from, 'sequence');
   const state = stringField(from, 'state');
   const suspicions = listField(from, 'suspicions', decodeSuspicion);
-  // Gateways of earlier versions pass nothing on.
+  // Gateways of earlier versions pass nothing on and share no answers.
+  const answers = from['answers'] === undefined ? [] : listField(from, 'answers', decodeAnswer);
   const relayed = decodeRelayed(stringField(from, 'relayed') ?? '');
   if (name === undefined || startedAtMs === undefined || sequence === undefined) return undefined;
-  if (!isPeerState(state) || suspicions === undefined || relayed === undefined) return undefined;
-  return {name, startedAtMs, sequence, state, relayed, suspicions};
+  if (!isPeerState(state) || suspicions === undefined || answers === undefined) return undefined;
+  if (relayed === undefined) return undefined;
+  return {name, startedAtMs, sequence, state, relayed, suspicions, answers};
 }
 
 /** Encodes a heartbeat. */
@@ -44,6 +47,15 @@
   return typeof value === 'string' && peerStates.has(value);
 }
 
+function decodeAnswer(value: unknown): AnsweredRequest | undefined {
+  const from = asObject(value);
+  if (from === undefined) return undefined;
+  const fingerprint = stringField(from, 'fingerprint');
+  const answeredAtMs = numberField(from, 'answeredAtMs');
+  if (fingerprint === undefined || answeredAtMs === undefined) return undefined;
+  return {fingerprint, answeredAtMs};
+}
+
 function decodeSuspicion(value: unknown): PoisonSuspicion | undefined {
   const from = asObject(value);
   if (from === undefined) return undefined;
--- a/packages/gateway/src/pending_losses.ts
+++ b/packages/gateway/src/pending_losses.ts
@@ -27,8 +27,8 @@
 
 /** Receives what became of the lost connections. */
 export interface LossListener {
-  /** The process that had the request has ended. */
-  recordLostTarget(suspect: SuspectRequest): void;
+  /** The process that had the request has ended; the connection was lost the given time ago. */
+  recordLostTarget(suspect: SuspectRequest, ageMs: number): void;
   /** Nothing shows that the process has ended. */
   recordDiscardedLoss(fingerprint: string, targetId: string): void;
 }
@@ -66,7 +66,7 @@
    */
   add(loss: LostConnection, incarnationId: string): void {
     if (incarnationId !== loss.incarnationId) {
-      this.listener.recordLostTarget(loss);
+      this.listener.recordLostTarget(loss, 0);
       return;
     }
     const lostAtMs = this.time.monotonicMs();
@@ -113,7 +113,8 @@
     const earlierEnds = endTimesMs.filter(endMs => lostAtMs - endMs > closeSpreadMs).length;
     if (earlierEnds === endTimesMs.length) this.recordEnd(incarnationId, lostAtMs);
     const suffix = earlierEnds === 0 ? '' : `+${earlierEnds}`;
-    this.listener.recordLostTarget({...loss, incarnationId: `${incarnationId}${suffix}`});
+    const confirmed = {...loss, incarnationId: `${incarnationId}${suffix}`};
+    this.listener.recordLostTarget(confirmed, this.ageMs(loss));
   }
 
   private recordEnd(incarnationId: string, endMs: number): void {
@@ -132,7 +133,13 @@
   }
 
   private confirm(isConfirmed: (loss: PendingLoss) => boolean): void {
-    for (const loss of this.take(isConfirmed)) this.listener.recordLostTarget(loss);
+    for (const loss of this.take(isConfirmed)) {
+      this.listener.recordLostTarget(loss, this.ageMs(loss));
+    }
+  }
+
+  private ageMs({lostAtMs}: PendingLoss): number {
+    return this.time.monotonicMs() - lostAtMs;
   }
 
   private discard(isDiscarded: (loss: PendingLoss) => boolean): void {
--- a/packages/gateway/src/poison_tracker.ts
+++ b/packages/gateway/src/poison_tracker.ts
@@ -3,10 +3,11 @@
  * it, so that the logs of the gateways show why a request is quarantined or still sent to targets.
  */
 import type {PoisonGuard} from '@cuminsill/steering';
-import type {PoisonSuspicion} from '@cuminsill/types';
+import type {AnsweredRequest, PoisonSuspicion} from '@cuminsill/types';
 import type {DecisionLog} from './decision_log';
 import type {GatewayMetrics} from './gateway_metrics';
 import type {SuspectRequest} from './pending_losses';
+import {SharedAnswers} from './shared_answers';
 
 /** What happened to a piece of evidence; written to the log and counted. */
 export type PoisonEvent =
@@ -21,6 +22,8 @@
 
 /** Evidence against requests, by fingerprint. */
 export class PoisonTracker {
+  private readonly sharedAnswers = new SharedAnswers();
+
   constructor(
     private readonly guard: PoisonGuard,
     private readonly log: DecisionLog,
@@ -46,17 +49,26 @@
   recordAnswered(fingerprint: string, targetId: string, status: number): void {
     const removed = this.guard.recordAnswered(fingerprint, status);
     if (removed === undefined) return;
+    this.shareAnswerSince(removed);
     this.report('cleared', {fingerprint, targetId, status, lostTargetIds: removed.targetIds});
   }
 
-  /** Records that a process of a target ended while it ran the request. */
-  recordLostTarget({fingerprint, incarnationId, isRepeat}: SuspectRequest): void {
+  /**
+   * Records that a process of a target ended while it ran the request.
+   * @param ageMs Time since the connection to the process was lost.
+   */
+  recordLostTarget({fingerprint, incarnationId, isRepeat}: SuspectRequest, ageMs: number): void {
     const wasQuarantined = this.isQuarantined(fingerprint);
-    const {targetIds: lostTargetIds} = this.guard.recordLostTarget(
-      fingerprint,
-      incarnationId,
-      isRepeat,
-    );
+    const suspicion = this.guard.recordLostTarget(fingerprint, incarnationId, isRepeat, ageMs);
+    if (suspicion === undefined) {
+      this.report('cleared', {
+        fingerprint,
+        lostTargetIds: [incarnationId],
+        reason: 'answered since',
+      });
+      return;
+    }
+    const {targetIds: lostTargetIds} = suspicion;
     const answeredBefore = this.guard.wasAnswered(fingerprint);
     this.report('suspected', {fingerprint, lostTargetIds, isRepeat, answeredBefore});
     if (!wasQuarantined) this.reportQuarantine(fingerprint, lostTargetIds, 'own evidence');
@@ -71,16 +83,39 @@
   mergeSuspicions(suspicions: readonly PoisonSuspicion[], gateway: string): void {
     const before = suspicions.filter(({fingerprint}) => !this.isQuarantined(fingerprint));
     this.guard.mergeSuspicions(suspicions);
+    for (const suspicion of suspicions) this.shareAnswerSince(suspicion);
     for (const {fingerprint, targetIds} of before) {
       this.reportQuarantine(fingerprint, targetIds, `evidence of ${gateway}`);
     }
   }
 
+  /** Merges answers to suspected requests that another gateway has seen. */
+  mergeAnswers(answers: readonly AnsweredRequest[], gateway: string): void {
+    for (const answer of answers) {
+      const removed = this.guard.mergeAnswer(answer);
+      if (removed === undefined) continue;
+      this.sharedAnswers.add(answer);
+      const {fingerprint, targetIds: lostTargetIds} = removed;
+      this.report('cleared', {fingerprint, lostTargetIds, reason: `answer seen by ${gateway}`});
+    }
+  }
+
+  /** Answers to suspected requests, to be sent with the next heartbeat. */
+  takeSharedAnswers(): readonly AnsweredRequest[] {
+    return this.sharedAnswers.take();
+  }
+
   /** Suspicions that have not expired. */
   suspicions(): readonly PoisonSuspicion[] {
     return this.guard.suspicions();
   }
 
+  /** Tells other gateways of an answer after the losses of a suspicion, which they may hold too. */
+  private shareAnswerSince(suspicion: PoisonSuspicion): void {
+    const answer = this.guard.answerSince(suspicion);
+    if (answer !== undefined) this.sharedAnswers.add(answer);
+  }
+
   private reportQuarantine(
     fingerprint: string,
     lostTargetIds: readonly string[],
--- a/packages/steering/__tests__/poison_guard.test.ts
+++ b/packages/steering/__tests__/poison_guard.test.ts
@@ -187,9 +187,10 @@
 
   // Otherwise, two instances that each know of one lost target would both send the request again.
   test('adds up lost targets that different instances saw', () => {
-    const guard = guardWith([guardWith().recordLostTarget('f', 't1', true)]);
+    const first = guardWith().recordLostTarget('f', 't1', true);
+    const guard = guardWith(first === undefined ? [] : [first]);
     const suspicion = guard.recordLostTarget('f', 't2', true);
-    expect(suspicion.targetIds).toEqual(['t1', 't2']);
+    expect(suspicion?.targetIds).toEqual(['t1', 't2']);
     expect(guard.isQuarantined('f')).toBe(true);
   });
 
--- a/packages/steering/src/poison_guard.ts
+++ b/packages/steering/src/poison_guard.ts
@@ -9,7 +9,7 @@
  * outweigh later ones, because a request may begin to crash targets; but it takes three of them then, because a frequent
  * request may meet two targets of a failing domain one after the other.
  */
-import type {PoisonSuspicion} from '@cuminsill/types';
+import type {AnsweredRequest, PoisonSuspicion} from '@cuminsill/types';
 import type {TimeSource} from '@cuminsill/utils';
 import type {PoisonDecisions} from './steering_types';
 
@@ -79,24 +79,54 @@
    */
   recordAnswered(fingerprint: string, status: number): PoisonSuspicion | undefined {
     if (status >= minServerErrorStatus) return undefined;
-    // Deleting first moves the fingerprint to the end, so that the map is ordered by the last answer.
-    this.answeredAtMsByFingerprint.delete(fingerprint);
-    this.answeredAtMsByFingerprint.set(fingerprint, this.time.nowMs());
+    this.rememberAnswer(fingerprint, this.time.nowMs());
     const removed = this.suspicionsByFingerprint.get(fingerprint);
     this.suspicionsByFingerprint.delete(fingerprint);
-    this.evictOldestAnswer();
     return removed;
   }
 
   /**
-   * Records that a target stopped answering while it ran the request. Returns the suspicion to share.
+   * Records an answer that another instance has seen. Removes and returns the suspicion if its last loss is older; later
+   * losses count on.
+   */
+  mergeAnswer({fingerprint, answeredAtMs}: AnsweredRequest): PoisonSuspicion | undefined {
+    const nowMs = this.time.nowMs();
+    // A peer whose clock is ahead must not outweigh losses that are still to come.
+    const seenAtMs = Math.min(answeredAtMs, nowMs);
+    const knownAtMs = this.answeredAtMsByFingerprint.get(fingerprint) ?? 0;
+    this.rememberAnswer(fingerprint, Math.max(seenAtMs, knownAtMs));
+    const suspicion = this.suspicionOf(fingerprint);
+    if (suspicion === undefined || !this.isAnsweredSince(suspicion)) return undefined;
+    this.suspicionsByFingerprint.delete(fingerprint);
+    return suspicion;
+  }
+
+  /** The answer that this instance has seen after the last loss of a suspicion, if any. */
+  answerSince(suspicion: PoisonSuspicion): AnsweredRequest | undefined {
+    const {fingerprint} = suspicion;
+    const answeredAtMs = this.answeredAtMsByFingerprint.get(fingerprint);
+    if (answeredAtMs === undefined || !this.isAnsweredSince(suspicion)) return undefined;
+    return {fingerprint, answeredAtMs};
+  }
+
+  /**
+   * Records that a target stopped answering while it ran the request. Returns the suspicion to share; undefined if the
+   * request was answered since.
    * @param isRepeat True if the request was sent after an earlier loss was known.
+   * @param ageMs Time since the loss: whether a process has ended may be known only later.
    */
-  recordLostTarget(fingerprint: string, targetId: string, isRepeat: boolean): PoisonSuspicion {
-    const untilMs = this.time.nowMs() + suspicionTtlMs;
+  recordLostTarget(
+    fingerprint: string,
+    targetId: string,
+    isRepeat: boolean,
+    ageMs = 0,
+  ): PoisonSuspicion | undefined {
+    const untilMs = this.time.nowMs() - ageMs + suspicionTtlMs;
     const targetIds = [targetId];
     const repeatTargetIds = isRepeat ? targetIds : [];
-    const merged = this.mergeSuspicion({fingerprint, targetIds, repeatTargetIds, untilMs});
+    const suspicion = {fingerprint, targetIds, repeatTargetIds, untilMs};
+    if (ageMs > 0 && this.isAnsweredSince(suspicion)) return undefined;
+    const merged = this.mergeSuspicion(suspicion);
     this.evictOldest();
     return merged;
   }
@@ -160,6 +190,13 @@
     return merged;
   }
 
+  private rememberAnswer(fingerprint: string, answeredAtMs: number): void {
+    // Deleting first moves the fingerprint to the end, so that the map is ordered by the last answer.
+    this.answeredAtMsByFingerprint.delete(fingerprint);
+    this.answeredAtMsByFingerprint.set(fingerprint, answeredAtMs);
+    this.evictOldestAnswer();
+  }
+
   private evictOldestAnswer(): void {
     if (this.answeredAtMsByFingerprint.size <= maxAnsweredFingerprints) return;
     const [oldest] = this.answeredAtMsByFingerprint.keys();
--- a/packages/steering/src/steering_types.ts
+++ b/packages/steering/src/steering_types.ts
@@ -138,7 +138,11 @@
    * Records that a target stopped answering while it ran the request. Returns the suspicion to share.
    * @param isRepeat True if the request was sent after an earlier loss was known.
    */
-  recordLostTarget(fingerprint: string, targetId: string, isRepeat: boolean): PoisonSuspicion;
+  recordLostTarget(
+    fingerprint: string,
+    targetId: string,
+    isRepeat: boolean,
+  ): PoisonSuspicion | undefined;
   mergeSuspicions(suspicions: readonly PoisonSuspicion[]): void;
   suspicions(): readonly PoisonSuspicion[];
 }
--- a/packages/types/src/reports.ts
+++ b/packages/types/src/reports.ts
@@ -28,6 +28,14 @@
   readonly untilMs: number;
 }
 
+/** An answer without a server error to a request that others may suspect. */
+export interface AnsweredRequest {
+  /** Digest that identifies the request. */
+  readonly fingerprint: string;
+  /** When it was answered, in milliseconds since the Unix epoch. */
+  readonly answeredAtMs: number;
+}
+
 /** Load of one entry process for one service and target region. */
 export interface ServiceLoad {
   readonly serviceId: string;
