--- a/packages/standins/src/users_platform/endpoint_server.ts
+++ b/packages/standins/src/users_platform/endpoint_server.ts
@@ -70,6 +70,10 @@
   mode: AnswerMode = 'normal';
   /** Requests per second that the endpoint names in its answers as its limit; it takes more all the same. */
   limitPerS: number | undefined;
+  /** Whether the answers say that the endpoint leaves; it serves on all the same. */
+  leaving = false;
+  /** `Retry-After` of rejections with status 503; the endpoint takes requests all the same. */
+  retryAfter: string | undefined;
   draining = false;
   /** Requests that started to run, in order. */
   readonly executedRequests: ExecutedRequest[] = [];
@@ -244,6 +248,8 @@
       'Instance-Id': this.endpoint.options.id,
       'Server-Load': this.endpoint.serverLoad(),
       ...this.limitHeader(),
+      ...this.leavingHeader(),
+      ...(status === 503 ? this.retryAfterHeader() : {}),
       'Content-Length': 0,
     });
     this.response.end();
@@ -292,9 +298,19 @@
       'Server-Load': this.endpoint.serverLoad(),
       ...(coldForMs > 0 ? {'Cold-Ms': String(coldForMs)} : {}),
       ...this.limitHeader(),
+      ...this.leavingHeader(),
     };
   }
 
+  private leavingHeader(): Record<string, string> {
+    return this.endpoint.leaving ? {'Server-Leaving': '1'} : {};
+  }
+
+  private retryAfterHeader(): Record<string, string> {
+    const {retryAfter} = this.endpoint;
+    return retryAfter === undefined ? {} : {'Retry-After': retryAfter};
+  }
+
   private limitHeader(): Record<string, string> {
     const {limitPerS} = this.endpoint;
     return limitPerS === undefined ? {} : {'Server-Limit': limitPerS.toFixed(1)};
