Follow targets that say that they leave or want a pause

Cause: the two headers were not decoded. A target that leaves got requests until its record said so, and one that wanted a pause got them as soon as its failure rate had decayed; when all wanted one, callers were told to come back after 0.25 s.

What a target asks for is in one module (target_directives), with the named rate. A process that has said that it leaves gets nothing more, also when its record is written again or comes back after an outage; a later start ends it. An answer of an earlier process counts for nothing. A pause lasts until the latest end named; when no target can be used for that reason, callers are told the earliest end, spread by half of it.

Not done: other gateways are not told; a value that cannot be read is ignored without a log line.

--- a/packages/gateway/src/admission.ts
+++ b/packages/gateway/src/admission.ts
@@ -57,5 +57,10 @@
 function refuse(excessMs: number, {waitMs, jitter}: AdmissionInput): Admission {
   // The queue drains at the speed of the service, so the excess wait is gone after about the same time.
   const capacityAfterMs = Math.max(minRetryAfterMs, Math.min(excessMs, waitMs));
-  return {kind: 'refuse', retryAfterMs: capacityAfterMs * (1 + jitter * maxJitterFraction)};
+  return {kind: 'refuse', retryAfterMs: spreadRetry(capacityAfterMs, jitter)};
+}
+
+/** Spreads the retries of refused callers, so that they do not return together; `jitter` is from 0 to 1. */
+export function spreadRetry(retryAfterMs: number, jitter: number): number {
+  return retryAfterMs * (1 + jitter * maxJitterFraction);
 }
--- a/packages/gateway/src/forwarding.ts
+++ b/packages/gateway/src/forwarding.ts
@@ -6,7 +6,7 @@
 import {hash32} from '@cuminsill/utils';
 import {Effect, Fiber} from 'effect';
 import type {AdmissionInput} from './admission';
-import {admit} from './admission';
+import {admit, spreadRetry} from './admission';
 import {AttemptRecord, relayedOrOutcomeUnknown} from './attempt_record';
 import type {CallerRequest} from './caller_request';
 import type {FinalAnswer} from './final_answer';
@@ -186,7 +186,7 @@
   private chooseAdmitted(): Placement | undefined {
     const placement = this.choosePlacement();
     if (placement === undefined) {
-      this.refusal = ownAnswer('no-usable-target', defaultRetryAfterMs);
+      this.refusal = ownAnswer('no-usable-target', this.usableAgainAfterMs());
       return undefined;
     }
     const {request, route} = this.forwarded;
@@ -195,10 +195,9 @@
     const elapsedMs = this.parts.time.monotonicMs() - request.arrivedAtMs;
     const latencyBudgetMs = route.targetLatencyMs - elapsedMs;
     const {expectedMs, waitMs} = placement;
-    const jitter = hash32(request.requestId) / 2 ** 32;
     const {priority} = route;
     const times = {expectedMs, minExpectedMs, waitMs, remainingMs, latencyBudgetMs};
-    const input = {...times, priority, jitter};
+    const input = {...times, priority, jitter: this.jitter()};
     this.lastAdmission = input;
     const admission = admit(input);
     if (admission.kind === 'refuse') {
@@ -229,6 +228,23 @@
     return isTrial ? roundTripMs : minMs;
   }
 
+  /** Time until the first target that has asked for a pause takes requests again, spread over callers. */
+  private usableAgainAfterMs(): number {
+    const nowMs = this.parts.time.monotonicMs();
+    const pausesMs = this.parts.targets
+      .ofService(this.forwarded.service)
+      .filter(target => target.isAssignable && target.health.reachability === 'reachable')
+      .map(target => target.directives.pauseLeftMs(nowMs));
+    if (pausesMs.length === 0) return defaultRetryAfterMs;
+    const earliestMs = Math.max(defaultRetryAfterMs, Math.min(...pausesMs));
+    return spreadRetry(earliestMs, this.jitter());
+  }
+
+  /** A number from 0 to 1 that differs between requests. */
+  private jitter(): number {
+    return hash32(this.forwarded.request.requestId) / 2 ** 32;
+  }
+
   private chooseHedge(): Placement | undefined {
     if (!this.mayRetry()) return undefined;
     const placement = this.choosePlacement();
@@ -275,7 +291,7 @@
       const attempt = {placement, incarnationId: target.incarnationId, isRepeat};
       record.recordStart(target.id);
       target.load.recordStart();
-      target.rateLimiter.recordSend(startedAtMs);
+      target.directives.rateLimiter.recordSend(startedAtMs);
       if (target.isCold(startedAtMs)) target.coldLimiter.recordSend(startedAtMs);
       const elapsedMs = () => parts.time.monotonicMs() - startedAtMs;
       return exchangeWithTarget({
--- a/packages/gateway/src/placement.ts
+++ b/packages/gateway/src/placement.ts
@@ -120,7 +120,7 @@
   if (view.evacuatedDomains.has(target.failureDomain)) return false;
   const {homeRegions} = request;
   if (homeRegions.length > 0 && !homeRegions.includes(target.region)) return false;
-  if (!target.rateLimiter.maySend(target.id, view)) return false;
+  if (!target.directives.maySend(target.id, view)) return false;
   if (!target.isCold(view.nowMs)) return true;
   if (!target.coldLimiter.isIntervalOver(view.nowMs)) return false;
   return target.coldLimiter.isSender(view.coldLimit, target.id, view.ownName, view.gatewayNames);
--- a/packages/gateway/src/record_exchange_end.ts
+++ b/packages/gateway/src/record_exchange_end.ts
@@ -36,6 +36,8 @@
 
 /** A request cancelled after this multiple of the expected time shows that the target is slow. */
 const slowCancelRatio = 1.5;
+/** Status with which a target turns a request away. */
+const rejectedStatus = 503;
 /** Shorter service times are ignored, because the network delay dominates them. */
 const minServiceTimeMs = 5;
 
@@ -75,7 +77,7 @@
   const {target} = placement;
   const nowMs = parts.time.monotonicMs();
   recordReports(end.answer, placement, nowMs);
-  recordLimit(context, end);
+  recordDirectives(context, end);
   parts.poison.recordAnswered(forwarded.fingerprint, target.id, end.answer.status);
   if (end.answer.status >= 500) {
     target.health.onFailure(nowMs);
@@ -104,7 +106,7 @@
   const nowMs = parts.time.monotonicMs();
   recordReports(end.answer, placement, nowMs);
   if (!end.answer.head.wrongTarget) {
-    recordLimit(context, end);
+    recordDirectives(context, end);
     target.health.onFailure(nowMs);
     return;
   }
@@ -130,9 +132,24 @@
   if (coldForMs !== undefined) target.markCold(coldForMs, nowMs);
 }
 
+/** Records what the target asks for, unless another process runs under its id since the request was sent. */
+function recordDirectives(context: ExchangeContext, end: AnsweringEnd): void {
+  const {parts, attempt} = context;
+  const {target} = attempt.placement;
+  if (attempt.incarnationId !== target.incarnationId) return;
+  recordLimit(context, end);
+  const {leaving, retryAfterMs} = end.answer.head;
+  if (leaving && !target.directives.isLeaving) parts.targets.recordLeaving(target);
+  const isPause = end.answer.status === rejectedStatus && retryAfterMs !== undefined;
+  if (!isPause) return;
+  target.directives.recordPause(retryAfterMs, parts.time.monotonicMs());
+  parts.log.event('target', {event: 'paused', targetId: target.id, retryAfterMs});
+}
+
 /** A rejection may leave out the limit, so only the answer to a request that ran shows that the limit has ended. */
 function recordLimit({parts, attempt}: ExchangeContext, end: AnsweringEnd): void {
-  const {rateLimiter, id: targetId} = attempt.placement.target;
+  const {id: targetId, directives} = attempt.placement.target;
+  const {rateLimiter} = directives;
   const {limitPerS} = end.answer.head;
   const nowMs = parts.time.monotonicMs();
   const before = rateLimiter.requestsPerS;
--- a/packages/gateway/src/request_wire.ts
+++ b/packages/gateway/src/request_wire.ts
@@ -30,6 +30,13 @@
   /** True when another target answered at the address. */
   readonly wrongTarget: boolean;
   readonly load: ReportedLoad | undefined;
+  /** True when the target says that it leaves. */
+  readonly leaving: boolean;
+  /**
+   * Time for which the target wants no request of this gateway, in milliseconds; undefined when the response does not state
+   * it. Applies to rejections only.
+   */
+  readonly retryAfterMs: number | undefined;
   /** Requests per second that the target takes from all gateways together; undefined when it names no limit. */
   readonly limitPerS: number | undefined;
   /** How long the target stays cold, in milliseconds; undefined when the response does not state it. */
--- a/packages/gateway/src/status_page.ts
+++ b/packages/gateway/src/status_page.ts
@@ -76,11 +76,12 @@
 
 /** Returns `usable`, or the reason why the target is not used. */
 export function targetState(parts: GatewayParts, target: Target, nowMs: number): string {
-  if (target.record.draining) return 'draining';
+  if (target.isLeaving) return 'draining';
   if (!target.isAssignable) return 'wrong address';
   if (parts.evacuations.evacuatedDomains.has(target.failureDomain)) return 'evacuated';
   if (target.health.reachability !== 'reachable') return target.health.reachability;
-  if (target.rateLimiter.requestsPerS !== undefined) return 'limited';
+  if (target.directives.pauseLeftMs(nowMs) > 0) return 'paused';
+  if (target.directives.rateLimiter.requestsPerS !== undefined) return 'limited';
   return target.isCold(nowMs) ? 'cold' : 'usable';
 }
 
--- a/packages/gateway/src/target.ts
+++ b/packages/gateway/src/target.ts
@@ -4,9 +4,9 @@
 import {ColdTargetLimiter} from './cold_target_limiter';
 import type {TargetRecord} from './gateway_types';
 import {RecentObjects} from './recent_objects';
+import {TargetDirectives} from './target_directives';
 import {TargetLoad} from './target_load';
 import {TargetHealth} from './target_health';
-import {TargetRateLimiter} from './target_rate_limiter';
 
 /** Identifies a target's process: a target may start again under the id that it had. */
 export function incarnationIdOf({id, startedAtMs}: TargetRecord): string {
@@ -17,7 +17,7 @@
 export class Target {
   readonly load = new TargetLoad();
   readonly coldLimiter = new ColdTargetLimiter();
-  readonly rateLimiter = new TargetRateLimiter();
+  readonly directives = new TargetDirectives();
   readonly recentObjects = new RecentObjects();
   health = new TargetHealth();
   /** Hash of the id, for rendezvous hashing. */
@@ -68,9 +68,14 @@
     return this.currentRecord.slots;
   }
 
-  /** False when the target is draining or removed, or another target answers at its address. */
+  /** True when the target leaves, as its record or one of its answers says. */
+  get isLeaving(): boolean {
+    return this.currentRecord.draining || this.directives.isLeaving;
+  }
+
+  /** False when the target is leaving or removed, or another target answers at its address. */
   get isAssignable(): boolean {
-    return !this.isRemoved && !this.currentRecord.draining && !this.hasWrongAddress;
+    return !this.isRemoved && !this.isLeaving && !this.hasWrongAddress;
   }
 
   /** True while the target's record is missing, but may come back after an outage of the store. */
@@ -122,7 +127,7 @@
   /** Resets what was learned about the former process, because a new one runs under the same id. */
   private resetAfterRestart(): void {
     this.health = new TargetHealth();
-    this.rateLimiter.reset();
+    this.directives.reset();
     this.recentObjects.clear();
     this.hasWrongAddress = false;
   }
--- a/packages/gateway/src/target_directory.ts
+++ b/packages/gateway/src/target_directory.ts
@@ -14,9 +14,12 @@
 /** Records expire only after several failed heartbeats, so a shorter outage, such as one lost call, removes none. */
 export const minExpiringOutageMs = 1_000;
 
+/** Bounds the memory of processes that have said that they leave; the one that said so first is forgotten first. */
+const maxLeavingProcesses = 2_000;
+
 /** Change of a target, as written to the log. */
 export type TargetEvent =
-  'added' | 'restarted' | 'draining' | 'removed' | 'removal-deferred' | 'unreadable';
+  'added' | 'restarted' | 'draining' | 'leaving' | 'removed' | 'removal-deferred' | 'unreadable';
 
 /** Called on each change of a target. */
 export type TargetListener = (event: TargetEvent, id: string, record?: TargetRecord) => void;
@@ -27,6 +30,8 @@
   private byService = new Map<string, readonly Target[]>();
   private readonly deferredRemovals = new Map<string, number>();
   private readonly unreadableNames = new Set<string>();
+  /** Incarnation ids of processes that have said that they leave; their records may go and come back. */
+  private readonly leavingProcesses = new Set<string>();
   private graceUntilMs = 0;
 
   constructor(
@@ -64,6 +69,16 @@
     }
   }
 
+  /** Records that an answer of the target has said that its process leaves. Only a new process ends this. */
+  recordLeaving(target: Target): void {
+    target.directives.recordLeaving();
+    this.leavingProcesses.add(target.incarnationId);
+    this.listener('leaving', target.id, target.record);
+    if (this.leavingProcesses.size <= maxLeavingProcesses) return;
+    const [first] = this.leavingProcesses;
+    if (first !== undefined) this.leavingProcesses.delete(first);
+  }
+
   /** Replaces all records. */
   replace(list: ObjectList<TargetRecord>): void {
     const listed = new Set(list.objects.map(({name}) => name));
@@ -100,7 +115,9 @@
   private add(record: TargetRecord, nowMs: number): void {
     this.byId.get(record.id)?.markRemoved();
     const region = this.regions.get(record.failureDomain) ?? '';
-    this.byId.set(record.id, new Target(record, region, nowMs));
+    const target = new Target(record, region, nowMs);
+    if (this.leavingProcesses.has(target.incarnationId)) target.directives.recordLeaving();
+    this.byId.set(record.id, target);
     this.listener('added', record.id, record);
   }
 
