Keep to the retry slack while the number of gateways is not known

Cause (the users' report of repeats beyond BUDGET on real processes, of which no logs were kept): each gateway takes an equal part of the slack by the number of gateways that the store lists for it. One whose store has not answered for longer than a window, or that lists only itself, or whose list has just shrunk, counted too few and took up to the whole slack.

Change: without any list a gateway takes no slack. Otherwise it counts also the gateways that it has heard and the largest number known within the last window, because gateways that have just gone may have used their part.

It was not reproduced with real processes.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -192,7 +192,7 @@
       retryBudget: new RetryBudget(
         () => retryLimit(settings.value),
         time,
-        () => peers.listedGatewayCount(),
+        () => peers.fleetSize(settings.value.bounds.retryWindowMs),
       ),
       connections: new TargetConnections(),
       connectionHistory,
--- a/packages/gateway/src/peer_table.ts
+++ b/packages/gateway/src/peer_table.ts
@@ -43,6 +43,15 @@
 /** Older heartbeats are not passed on; all gateways have heard them or newer ones. */
 const maxRelayedAgeMs = 1_500;
 
+/** Earlier sizes of the fleet are remembered for this long, longer than the windows of limits. */
+const maxSizeAgeMs = 60_000;
+
+interface EarlierSize {
+  readonly size: number;
+  /** When a record was removed. */
+  readonly endedAtMs: number;
+}
+
 interface ReceivedHeartbeat {
   readonly heartbeat: PeerHeartbeat;
   /** When it was sent, as far as this gateway can tell. */
@@ -52,6 +61,9 @@
 /** The listed gateways and their latest heartbeats. */
 export class PeerTable {
   private records: ReadonlyMap<string, GatewayRecord> = new Map();
+  private hasList = false;
+  /** Earlier numbers of records, as long as they may still matter. */
+  private earlierSizes: readonly EarlierSize[] = [];
   private nameByHash: ReadonlyMap<number, string> = new Map();
   private activeNames: readonly string[] = [];
   private activeNamesUpdatedAtMs = Number.NEGATIVE_INFINITY;
@@ -64,6 +76,7 @@
 
   /** Replaces all records. */
   replace(list: ObjectList<GatewayRecord>): void {
+    this.hasList = true;
     this.setRecords(new Map(list.objects.flatMap(readableRecords)));
   }
 
@@ -154,6 +167,25 @@
     return this.records.size + (this.isOwnRecordListed ? 0 : 1);
   }
 
+  /**
+   * Number of gateways among which a limit that holds for all of them is divided: the largest that was known within the
+   * given time, since gateways that have just gone may have used their part. Counts gateways that the store does not
+   * list but that were heard. Undefined before the store's first answer.
+   */
+  fleetSize(withinMs: number): number | undefined {
+    if (!this.hasList) return undefined;
+    const sinceMs = this.time.monotonicMs() - withinMs;
+    const unlisted = [...this.lastHeartbeats.entries()].filter(
+      ([name, {heardAtMs}]) =>
+        heardAtMs >= sinceMs && !this.records.has(name) && name !== this.ownRecord.name,
+    );
+    const currentSize = this.listedGatewayCount() + unlisted.length;
+    const earlierSizes = this.earlierSizes
+      .filter(({endedAtMs}) => endedAtMs >= sinceMs)
+      .map(({size}) => size);
+    return Math.max(currentSize, ...earlierSizes);
+  }
+
   /**
    * Fraction of the listed gateways that are in this gateway's region; an estimate of the fraction of callers there,
    * because gateways run close to callers.
@@ -166,6 +198,11 @@
   }
 
   private setRecords(records: ReadonlyMap<string, GatewayRecord>): void {
+    const endedAtMs = this.time.monotonicMs();
+    if (records.size < this.records.size) {
+      const recent = this.earlierSizes.filter(size => endedAtMs - size.endedAtMs <= maxSizeAgeMs);
+      this.earlierSizes = [...recent, {size: this.records.size, endedAtMs}];
+    }
     this.records = records;
     this.nameByHash = new Map([...records.keys()].map(name => [hash32(name), name]));
   }
--- a/packages/gateway/src/retry_budget.ts
+++ b/packages/gateway/src/retry_budget.ts
@@ -38,12 +38,12 @@
 
   /**
    * @param limit Returns the current limit, which a reload may change.
-   * @param gatewayCount Returns the number of gateways among which the slack is divided.
+   * @param gatewayCount Returns the number of gateways among which the slack is divided; undefined while it is not known.
    */
   constructor(
     private readonly limit: () => RetryLimit,
     private readonly time: TimeSource,
-    private readonly gatewayCount: () => number,
+    private readonly gatewayCount: () => number | undefined,
   ) {
     this.startedAtMs = time.monotonicMs();
   }
@@ -77,7 +77,10 @@
   private ownSlack(nowMs: number): number {
     const {slack, windowMs} = this.limit();
     if (nowMs - this.startedAtMs < windowMs) return 0;
-    const slackPerGateway = (slack * usedFraction) / Math.max(1, this.gatewayCount());
+    const gatewayCount = this.gatewayCount();
+    // A gateway that knows of no other may be one of many, each of which would take the whole slack.
+    if (gatewayCount === undefined) return 0;
+    const slackPerGateway = (slack * usedFraction) / Math.max(1, gatewayCount);
     if (slackPerGateway >= 1) return Math.floor(slackPerGateway);
     const window = Math.floor(nowMs / windowMs);
     return window % Math.ceil(1 / slackPerGateway) === 0 ? 1 : 0;
