Pass on only heartbeats whose numbers fit into their row

Cause: a heartbeat with a negative, fractional or too large start or sequence is accepted from the network, and encoding it to be passed on throws in the timer of the heartbeats, which ends the process.

--- a/packages/gateway/__tests__/peer_table.test.ts
+++ b/packages/gateway/__tests__/peer_table.test.ts
@@ -139,6 +139,16 @@
     expect(decodePeerMessage(encodePeerMessage(full))).toEqual(full);
   });
 
+  /** Guards against a gateway that ends because it passes on a heartbeat with impossible numbers. */
+  test.each([{startedAtMs: -1}, {startedAtMs: 0.5}, {startedAtMs: 2 ** 48}, {sequence: 2 ** 32}])(
+    'leaves out a passed-on heartbeat with %j',
+    changes => {
+      const [first, second] = relayed;
+      const full = {...message, relayed: [{...first, ...changes}, second], answers: []};
+      expect(decodePeerMessage(encodePeerMessage(full))?.relayed).toEqual([second]);
+    },
+  );
+
   // Guards against ignoring gateways of an earlier version during an update.
   test('decodes a heartbeat that passes nothing on', () => {
     expect(decodePeerMessage(JSON.stringify(message))).toEqual({
--- a/packages/gateway/src/forwarding.ts
+++ b/packages/gateway/src/forwarding.ts
@@ -212,7 +212,8 @@
 
   /**
    * Shortest time in which the placement may give an answer. It is the expected time at slow targets, whose free slots may
-   * not be free, and for retries, which are limited in number.
+   * not be free, and for retries, which are limited in number. For a few requests that no answer was quick enough for, only
+   * the round trip counts, so that the gateway learns whether the service has become faster.
    */
   private minExpectedMs({target, expectedMs, waitMs}: Placement): number {
     const {serviceTimes, roundTripTimes, time} = this.parts;
--- a/packages/gateway/src/relayed_heartbeats.ts
+++ b/packages/gateway/src/relayed_heartbeats.ts
@@ -7,13 +7,16 @@
 /** The index of a state is its code. */
 const stateCodes: readonly PeerState[] = ['starting', 'serving', 'leaving'];
 const maxAgeMs = 0xffff;
+const maxStartedAtMs = 2 ** 48 - 1;
+const maxSequence = 2 ** 32 - 1;
 
 const offsets = {nameHash: 0, startedAtMs: 4, sequence: 10, state: 14, ageMs: 15};
 const rowLength = 17;
 const startedAtLength = 6;
 
-/** Encodes heartbeats. */
-export function encodeRelayed(heartbeats: readonly RelayedHeartbeat[]): string {
+/** Encodes heartbeats; leaves out those whose numbers do not fit, which no gateway of this project sends. */
+export function encodeRelayed(relayed: readonly RelayedHeartbeat[]): string {
+  const heartbeats = relayed.filter(fitsRow);
   const rows = Buffer.alloc(heartbeats.length * rowLength);
   heartbeats.forEach(({nameHash, startedAtMs, sequence, state, ageMs}, index) => {
     const start = index * rowLength;
@@ -26,6 +29,14 @@
   return rows.toString('base64');
 }
 
+function fitsRow({startedAtMs, sequence}: RelayedHeartbeat): boolean {
+  return isCountUpTo(maxStartedAtMs, startedAtMs) && isCountUpTo(maxSequence, sequence);
+}
+
+function isCountUpTo(max: number, value: number): boolean {
+  return Number.isInteger(value) && value >= 0 && value <= max;
+}
+
 /** Decodes heartbeats; undefined when the text has no whole rows or an unknown state. */
 export function decodeRelayed(text: string): readonly RelayedHeartbeat[] | undefined {
   const rows = Buffer.from(text, 'base64');
