Pass heartbeats on within failure domains, and few of them between regions

Cause: heartbeats went to 12 gateways anywhere and carried those of 35% of the fleet.

Change: receivers are 8 gateways of the sender's failure domain; a domain sends about 10 heartbeats in an interval to the rest of its region and a region 16 to other regions, whatever their size. A heartbeat carries what its sender has heard since its last one. The timeout is 2.5 s for all sizes again.

--- a/packages/gateway/__fixtures__/measure_heartbeats.ts
+++ b/packages/gateway/__fixtures__/measure_heartbeats.ts
@@ -29,14 +29,16 @@
     fleet.run(observeIntervalMs);
     falselyDead += fleet.countFalselyDead();
   }
-  const {messagesPerS, bytesPerS} = fleet.trafficPerGateway();
+  const traffic = fleet.trafficPerGateway();
   const [crashed = ''] = fleet.names;
   fleet.kill(crashed);
   fleet.run(crashNoticeMs);
   return {
     gateways: gatewayCount,
-    'messages/s': Number(messagesPerS.toFixed(1)),
-    'bytes/s': Math.round(bytesPerS),
+    'messages/s': Number(traffic.messagesPerS.toFixed(1)),
+    'bytes/s': Math.round(traffic.bytesPerS),
+    'to other domains': Math.round(traffic.bytesPerSToOtherDomains),
+    'to other regions': Math.round(traffic.bytesPerSToOtherRegions),
     'cpu ms/s': Number((user / gatewayCount / observedMs).toFixed(2)),
     'heap bytes': Math.round(heapPerGateway),
     'falsely dead pairs': falselyDead,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -27,7 +27,7 @@
 import type {FeedState, ObjectFeed} from './object_feed';
 import {RoundTripTimes} from './round_trip_times';
 import {PeerExchange} from './peer_exchange';
-import {relayedCount} from './peer_gossip';
+import {chooseReceivers} from './peer_gossip';
 import type {PeerMessage} from './peer_message';
 import type {PeerState} from './peer_table';
 import {PeerTable} from './peer_table';
@@ -242,7 +242,10 @@
     const {parts} = this;
     return new PeerExchange(this.settings.value.listen.peers, {
       nextHeartbeat: () => this.nextHeartbeat(),
-      peerAddresses: () => parts.peers.otherGateways().map(({peerAddress}) => peerAddress),
+      nextReceivers: () =>
+        chooseReceivers(parts.peers.otherGateways(), this.ownRecord, Math.random).map(
+          ({peerAddress}) => peerAddress,
+        ),
       onHeartbeat: message => {
         const isNewSender = parts.peers.recordHeartbeat(message);
         const isNewRelayed = parts.peers.recordRelayed(message.relayed);
@@ -258,13 +261,12 @@
   private nextHeartbeat(): PeerMessage {
     if (this.peerState === 'starting' && this.isReady()) this.peerState = 'serving';
     this.heartbeatSequence += 1;
-    const {peers} = this.parts;
     return {
       name: this.ownRecord.name,
       startedAtMs: this.startedAtMs,
       sequence: this.heartbeatSequence,
       state: this.peerState,
-      relayed: peers.recentHeartbeats(relayedCount(peers.listedGatewayCount() - 1)),
+      relayed: this.parts.peers.takeHeardHeartbeats(),
       suspicions: this.parts.poison.suspicions(),
       answers: this.parts.poison.takeSharedAnswers(),
     };
--- a/packages/gateway/src/peer_exchange.ts
+++ b/packages/gateway/src/peer_exchange.ts
@@ -4,8 +4,6 @@
  */
 import * as dgram from 'node:dgram';
 import type {PoisonSuspicion, SocketAddress} from '@cuminsill/types';
-import type {Random} from './peer_gossip';
-import {chooseReceivers} from './peer_gossip';
 import {decodePeerMessage, encodePeerMessage} from './peer_message';
 import type {PeerMessage} from './peer_message';
 import {SuspicionRotation} from './suspicion_rotation';
@@ -20,7 +18,8 @@
 /** Supplies heartbeats and receivers, and handles received heartbeats. */
 export interface PeerExchangeHandlers {
   nextHeartbeat(): PeerMessage;
-  peerAddresses(): readonly SocketAddress[];
+  /** The gateways to which the next heartbeat goes. */
+  nextReceivers(): readonly SocketAddress[];
   onHeartbeat(message: PeerMessage): void;
   onUnreadable(from: string): void;
   /** Called with the number of new or changed suspicions that a heartbeat had no room for. */
@@ -36,7 +35,6 @@
   constructor(
     private readonly address: SocketAddress,
     private readonly handlers: PeerExchangeHandlers,
-    private readonly random: Random = Math.random,
   ) {}
 
   /** Starts to listen and to send. Rejects when the port is in use. */
@@ -53,7 +51,7 @@
   /** Sends a heartbeat at once, so that other gateways learn of a change without delay. */
   sendHeartbeat(): void {
     const {suspicions, relayed, answers, ...head} = this.handlers.nextHeartbeat();
-    const receivers = chooseReceivers(this.handlers.peerAddresses(), this.random);
+    const receivers = this.handlers.nextReceivers();
     const parts = partsOf(this.chooseSuspicions(suspicions), maxSuspicionsPerDatagram);
     const datagrams = parts.map((part, index) => {
       const inFirst = index === 0 ? {relayed, answers} : {relayed: [], answers: []};
--- a/packages/gateway/src/peer_gossip.ts
+++ b/packages/gateway/src/peer_gossip.ts
@@ -1,43 +1,57 @@
 /**
- * Chooses to which gateways a heartbeat goes, and which heartbeats of other gateways it passes on.
+ * Chooses to which gateways a heartbeat goes.
  *
  * The pattern: with hundreds of gateways, a gateway cannot send each heartbeat to all others, and one that is heard only in
- * turn counts as dead in between. Each heartbeat therefore goes to a few gateways at random and carries the latest
- * heartbeats of others, as in gossip-style failure detection (van Renesse 1998). The number of messages does not grow with the
- * fleet; their size does, up to a bound.
+ * turn counts as dead in between. Each heartbeat therefore goes to a few gateways and passes on what its sender has heard
+ * since its last one, as in gossip-style failure detection (van Renesse 1998). Most receivers are in the sender's failure
+ * domain, because bandwidth between regions is low: a domain sends a few heartbeats in an interval to the rest of its region,
+ * and a region a few to other regions, whatever their sizes.
  */
 
-/** Number of gateways that a heartbeat goes to. */
-export const maxReceivers = 12;
-/**
- * Fraction of the fleet whose heartbeats are passed on with a heartbeat. With it the others hear of nearly every heartbeat of a
- * gateway, and a few lost ones do not make it count as dead.
- */
-const relayedFraction = 0.35;
-/** Bounds the size of a datagram; enough for 340 gateways. */
-const maxRelayedHeartbeats = 120;
+/** Where a gateway runs. */
+export interface GatewayPlace {
+  readonly region: string;
+  readonly failureDomain: string;
+}
+
+/** With at most this many peers, each heartbeat goes to all of them and passes nothing on. */
+export const maxDirectPeers = 12;
+const receiversInDomain = 8;
+/** Heartbeats in an interval from one failure domain to the others of its region. */
+const heartbeatsToRegion = 10;
+/** Heartbeats in an interval from one region to all others. */
+const heartbeatsToOtherRegions = 16;
 
 /** Returns a number from 0 (inclusive) to 1 (exclusive). */
 export type Random = () => number;
 
-/** Chooses receivers at random; all peers while they are few. */
-export function chooseReceivers<Peer>(peers: readonly Peer[], random: Random): readonly Peer[] {
-  return sample(peers, maxReceivers, random);
-}
-
-/** True if a heartbeat reaches only a part of the peers, so that it has to carry heartbeats of others. */
+/** True if a heartbeat reaches only a part of the peers, so that it has to pass on those of others. */
 export function needsRelays(peerCount: number): boolean {
-  return peerCount > maxReceivers;
+  return peerCount > maxDirectPeers;
 }
 
-/** Number of heartbeats of others that a heartbeat carries. */
-export function relayedCount(peerCount: number): number {
-  if (!needsRelays(peerCount)) return 0;
-  return Math.min(maxRelayedHeartbeats, Math.ceil(peerCount * relayedFraction));
+/** Chooses the receivers of one heartbeat. */
+export function chooseReceivers<Peer extends GatewayPlace>(
+  peers: readonly Peer[],
+  own: GatewayPlace,
+  random: Random,
+): readonly Peer[] {
+  if (!needsRelays(peers.length)) return peers;
+  const inRegion = peers.filter(({region}) => region === own.region);
+  const inDomain = inRegion.filter(({failureDomain}) => failureDomain === own.failureDomain);
+  const inOtherDomains = inRegion.filter(({failureDomain}) => failureDomain !== own.failureDomain);
+  const inOtherRegions = peers.filter(({region}) => region !== own.region);
+  const sendsToRegion = random() * (inDomain.length + 1) < heartbeatsToRegion;
+  const sendsToOtherRegions = random() * (inRegion.length + 1) < heartbeatsToOtherRegions;
+  return [
+    ...sample(inDomain, receiversInDomain, random),
+    ...sample(inOtherDomains, sendsToRegion ? 1 : 0, random),
+    ...sample(inOtherRegions, sendsToOtherRegions ? 1 : 0, random),
+  ];
 }
 
-/** Returns up to `count` different elements at random, in random order. */
-export function sample<Element>(
+/** Returns up to `count` different elements at random. */
+function sample<Element>(
   elements: readonly Element[],
   count: number,
   random: Random,
--- a/packages/gateway/src/peer_table.ts
+++ b/packages/gateway/src/peer_table.ts
@@ -34,14 +34,12 @@
 
 /** A gateway without a heartbeat for this long counts as dead and is not named to callers. */
 export const heartbeatTimeoutMs = 2_500;
-/** The same where heartbeats are passed on, which takes longer. */
-export const relayedHeartbeatTimeoutMs = 2_650;
 
 /** The list of active gateways may be this old, which is short compared with `heartbeatTimeoutMs`. */
 const activeNamesRefreshMs = 100;
 
-/** Older heartbeats are not passed on; all gateways have heard them or newer ones. */
-const maxRelayedAgeMs = 1_500;
+/** Bounds the size of a datagram to about 12 kB. */
+const maxRelayedHeartbeats = 500;
 
 /** Earlier sizes of the fleet are remembered for this long, longer than the windows of limits. */
 const maxSizeAgeMs = 60_000;
@@ -68,6 +66,8 @@
   private activeNames: readonly string[] = [];
   private activeNamesUpdatedAtMs = Number.NEGATIVE_INFINITY;
   private readonly lastHeartbeats = new Map<string, ReceivedHeartbeat>();
+  /** Gateways of which a heartbeat was heard that has not been passed on. */
+  private readonly heardNames = new Set<string>();
 
   constructor(
     readonly ownRecord: GatewayRecord,
@@ -109,20 +109,22 @@
     return hasNewProcess;
   }
 
-  /** Recent heartbeats of others, to be passed on, the latest first: the others have been passed on already. */
-  recentHeartbeats(maxCount: number): readonly RelayedHeartbeat[] {
+  /**
+   * Heartbeats that were heard since the last call, to be passed on; none while each gateway sends to all others. The latest
+   * heard go first if there are too many for one datagram.
+   */
+  takeHeardHeartbeats(): readonly RelayedHeartbeat[] {
+    const names = [...this.heardNames].slice(-maxRelayedHeartbeats);
+    this.heardNames.clear();
+    if (!needsRelays(this.listedGatewayCount() - 1)) return [];
     const nowMs = this.time.monotonicMs();
-    return [...this.lastHeartbeats.values()]
-      .filter(({heardAtMs}) => nowMs - heardAtMs <= maxRelayedAgeMs)
-      .sort((a, b) => b.heardAtMs - a.heardAtMs)
-      .slice(0, maxCount)
-      .map(({heartbeat, heardAtMs}) => ({
-        nameHash: hash32(heartbeat.name),
-        startedAtMs: heartbeat.startedAtMs,
-        sequence: heartbeat.sequence,
-        state: heartbeat.state,
-        ageMs: Math.round(nowMs - heardAtMs),
-      }));
+    return names.flatMap(name => {
+      const received = this.lastHeartbeats.get(name);
+      if (received === undefined) return [];
+      const {startedAtMs, sequence, state} = received.heartbeat;
+      const ageMs = Math.round(nowMs - received.heardAtMs);
+      return [{nameHash: hash32(name), startedAtMs, sequence, state, ageMs}];
+    });
   }
 
   private recordSent(heartbeat: PeerHeartbeat, ageMs: number): boolean {
@@ -130,6 +132,9 @@
     if (known !== undefined && !isNewer(heartbeat, known)) return false;
     const heardAtMs = this.time.monotonicMs() - ageMs;
     this.lastHeartbeats.set(heartbeat.name, {heartbeat, heardAtMs});
+    // Deleting first moves the name to the end, so that the set is ordered by when its heartbeat was heard.
+    this.heardNames.delete(heartbeat.name);
+    this.heardNames.add(heartbeat.name);
     return known?.startedAtMs !== heartbeat.startedAtMs;
   }
 
@@ -214,10 +219,7 @@
   private isAlive(name: string): boolean {
     const received = this.lastHeartbeats.get(name);
     if (received === undefined) return false;
-    const timeoutMs = needsRelays(this.listedGatewayCount() - 1)
-      ? relayedHeartbeatTimeoutMs
-      : heartbeatTimeoutMs;
-    return this.time.monotonicMs() - received.heardAtMs <= timeoutMs;
+    return this.time.monotonicMs() - received.heardAtMs <= heartbeatTimeoutMs;
   }
 }
 
