Send heartbeats elsewhere when a failure domain has few gateways

Found by simulating layouts other than the users'.

Change: a heartbeat has at least eight receivers, from the rest of the region and then from elsewhere as far as the domain has fewer.

--- a/packages/gateway/__fixtures__/membership_simulation.ts
+++ b/packages/gateway/__fixtures__/membership_simulation.ts
@@ -15,6 +15,8 @@
 export interface FleetOptions {
   readonly gatewayCount: number;
   readonly lossRate: number;
+  readonly regionCount?: number;
+  readonly domainsPerRegion?: number;
   readonly seed: number;
 }
 
@@ -70,7 +72,9 @@
   constructor(private readonly options: FleetOptions) {
     const source = seededRandom(options.seed);
     this.random = () => source.next();
-    const records = Array.from({length: options.gatewayCount}, (_, index) => recordOf(index));
+    const records = Array.from({length: options.gatewayCount}, (_, index) =>
+      recordOf(index, options),
+    );
     const objects = records.map(record => ({name: record.name, revision: 1, content: record}));
     for (const record of records) {
       const table = new PeerTable(record, this.time);
@@ -196,10 +200,10 @@
   }
 }
 
-const regionCount = 3;
-const domainsPerRegion = 3;
-
-function recordOf(index: number): GatewayRecord {
+function recordOf(
+  index: number,
+  {regionCount = 3, domainsPerRegion = 3}: FleetOptions,
+): GatewayRecord {
   const region = `r${index % regionCount}`;
   const domain = Math.floor(index / regionCount) % domainsPerRegion;
   return {
--- a/packages/gateway/__tests__/membership_at_scale.test.ts
+++ b/packages/gateway/__tests__/membership_at_scale.test.ts
@@ -5,6 +5,8 @@
 interface FleetCase {
   readonly gatewayCount: number;
   readonly lossRate: number;
+  readonly regionCount?: number;
+  readonly domainsPerRegion?: number;
 }
 
 const cases: readonly FleetCase[] = [
@@ -33,8 +35,8 @@
   readonly believerCount: number;
 }
 
-function playFleet({gatewayCount, lossRate}: FleetCase): FleetResult {
-  const fleet = new SimulatedFleet({gatewayCount, lossRate, seed: 1});
+function playFleet(fleetCase: FleetCase): FleetResult {
+  const fleet = new SimulatedFleet({...fleetCase, seed: 1});
   fleet.run(settleMs);
   let falselyDeadCount = 0;
   for (let elapsedMs = 0; elapsedMs < observeMs; elapsedMs += observeIntervalMs) {
@@ -72,3 +74,19 @@
     expect(result.traffic.bytesPerSToOtherRegions).toBeLessThanOrEqual(maxBytesPerSToOtherRegions);
   });
 });
+
+const scatteredCases: readonly FleetCase[] = [
+  {gatewayCount: 14, lossRate: 0.05, regionCount: 1, domainsPerRegion: 14},
+  {gatewayCount: 20, lossRate: 0.05, regionCount: 3, domainsPerRegion: 7},
+  {gatewayCount: 20, lossRate: 0.05, regionCount: 14, domainsPerRegion: 1},
+  {gatewayCount: 60, lossRate: 0.05, regionCount: 3, domainsPerRegion: 20},
+];
+
+/** Guards against too few receivers where failure domains or regions have one or two gateways. */
+test.each(scatteredCases)(
+  '$gatewayCount gateways in $regionCount regions of $domainsPerRegion domains hear of each other',
+  fleetCase => {
+    const {falselyDeadCount, believerCount} = playFleet(fleetCase);
+    expect([falselyDeadCount, believerCount]).toEqual([0, 0]);
+  },
+);
--- a/packages/gateway/src/peer_gossip.ts
+++ b/packages/gateway/src/peer_gossip.ts
@@ -16,7 +16,8 @@
 
 /** With at most this many peers, each heartbeat goes to all of them and passes nothing on. */
 export const maxDirectPeers = 12;
-const receiversInDomain = 8;
+/** Receivers of a heartbeat in the sender's failure domain, and elsewhere as far as the domain has fewer gateways. */
+const minReceivers = 8;
 /** Heartbeats in an interval from one failure domain to the others of its region. */
 const heartbeatsToRegion = 10;
 /** Heartbeats in an interval from one region to all others. */
@@ -43,11 +44,12 @@
   const inOtherRegions = peers.filter(({region}) => region !== own.region);
   const sendsToRegion = random() * (inDomain.length + 1) < heartbeatsToRegion;
   const sendsToOtherRegions = random() * (inRegion.length + 1) < heartbeatsToOtherRegions;
-  return [
-    ...sample(inDomain, receiversInDomain, random),
-    ...sample(inOtherDomains, sendsToRegion ? 1 : 0, random),
-    ...sample(inOtherRegions, sendsToOtherRegions ? 1 : 0, random),
-  ];
+  const near = sample(inDomain, minReceivers, random);
+  const missingNear = minReceivers - near.length;
+  const around = sample(inOtherDomains, Math.max(missingNear, sendsToRegion ? 1 : 0), random);
+  const missing = missingNear - around.length;
+  const far = sample(inOtherRegions, Math.max(missing, sendsToOtherRegions ? 1 : 0), random);
+  return [...near, ...around, ...far];
 }
 
 /** Returns up to `count` different elements at random. */
