Count the crash of a target that started again once it is shown by a probe

Change: every confirmed loss is compared with the earlier ends under its record, whatever shows the end. A loss counts for the next process only if its request was sent after the earlier end, so that requests of one process that are lost at different times count once.

Ruled out: the answers that other gateways have seen since (there is one gateway, and the request is never answered); counting a pending loss as known when the request is sent again, which would quarantine frequent requests when a failure domain fails.

Also new: a check of the age of a loss, which was missing.

--- a/packages/gateway/__tests__/pending_losses.test.ts
+++ b/packages/gateway/__tests__/pending_losses.test.ts
@@ -12,6 +12,7 @@
   isRepeat: false,
   targetId: 'i-1',
   address,
+  elapsedMs: 1,
 };
 
 interface LossCase {
@@ -99,19 +100,115 @@
   expect(confirmed).toEqual(['i-1@1000']);
 });
 
+interface RepeatedLossCase {
+  readonly name: string;
+  /** Requests whose connections are lost at one moment, by moment. */
+  readonly fingerprints: readonly (readonly string[])[];
+  /** Time for which the requests had run when their connections were lost; 0 by default. */
+  readonly elapsedMs?: number;
+  /** What tells of the ends, after each moment. */
+  readonly confirm: readonly ((losses: PendingLosses) => void)[];
+  readonly expected: readonly string[];
+}
+
+const closeTogether = (losses: PendingLosses) => losses.review();
+const findNoOne = (losses: PendingLosses) => losses.onProcessEnded('i-1');
+const knowNothing = () => undefined;
+
+const repeatedLossCases: readonly RepeatedLossCase[] = [
+  {
+    name: 'the connections close together each time',
+    fingerprints: [['f', 'g'], ['f']],
+    confirm: [closeTogether, closeTogether],
+    expected: ['i-1@1000', 'i-1@1000', 'i-1@1000+1'],
+  },
+  {
+    name: 'the connections close together each time, which is noticed only later',
+    fingerprints: [['f'], ['f']],
+    confirm: [knowNothing, closeTogether],
+    expected: ['i-1@1000', 'i-1@1000+1'],
+  },
+  {
+    name: 'the connections close together, then a probe finds no one',
+    fingerprints: [['f'], ['f']],
+    confirm: [closeTogether, findNoOne],
+    expected: ['i-1@1000', 'i-1@1000+1'],
+  },
+  {
+    name: 'a probe finds no one, then the connections close together',
+    fingerprints: [['f'], ['f']],
+    confirm: [findNoOne, closeTogether],
+    expected: ['i-1@1000', 'i-1@1000+1'],
+  },
+  {
+    name: 'a probe finds no one each time',
+    fingerprints: [['f'], ['f', 'g'], ['f']],
+    confirm: [findNoOne, findNoOne, findNoOne],
+    expected: ['i-1@1000', 'i-1@1000+1', 'i-1@1000+1', 'i-1@1000+2'],
+  },
+  {
+    name: 'the connections close together, then the target registers with a later start',
+    fingerprints: [['f'], ['f']],
+    confirm: [closeTogether, losses => losses.onProcessRegistered(recordAt('i-1', 2_000))],
+    expected: ['i-1@1000', 'i-1@1000+1'],
+  },
+  {
+    name: 'the second request was sent before the first end',
+    fingerprints: [['f'], ['f']],
+    elapsedMs: 100,
+    confirm: [findNoOne, findNoOne],
+    expected: ['i-1@1000', 'i-1@1000'],
+  },
+  {
+    // The first connection may have been lost at a process that went on.
+    name: 'one probe finds no one after both',
+    fingerprints: [['f'], ['f']],
+    confirm: [knowNothing, findNoOne],
+    expected: ['i-1@1000', 'i-1@1000'],
+  },
+];
+
 // Guards against counting several crashes of a target as one, because it starts again faster than its record changes.
-test('each time that the connections close together counts', () => {
-  const confirmed: string[] = [];
+test.each(repeatedLossCases)(
+  'losses under one record are $expected when $name',
+  ({fingerprints, elapsedMs = 0, confirm, expected}) => {
+    const confirmed: string[] = [];
+    const time = new ManualTime(1_700_000_000_000);
+    const listener = {
+      recordLostTarget: ({incarnationId}: SuspectRequest) => confirmed.push(incarnationId),
+      recordDiscardedLoss: () => undefined,
+    };
+    const connections = {closedTogether: () => confirm.includes(closeTogether)};
+    const losses = new PendingLosses(listener, connections, time);
+    for (const [moment, lost] of fingerprints.entries()) {
+      for (const fingerprint of lost) {
+        losses.add({...loss, fingerprint, elapsedMs}, loss.incarnationId);
+      }
+      time.advance(closeSpreadMs + 1);
+      confirm[moment]?.(losses);
+    }
+    expect(confirmed).toEqual(expected);
+  },
+);
+
+// Guards against a loss that counts as later than an answer that came after it.
+test.each<{readonly name: string; readonly act: (losses: PendingLosses) => void}>([
+  {name: 'the connections closed together', act: closeTogether},
+  {name: 'a probe finds no one', act: findNoOne},
+  {
+    name: 'the target registers with a later start',
+    act: losses => losses.onProcessRegistered(recordAt('i-1', 2_000)),
+  },
+])('a loss is as old as the lost connection when $name', ({act}) => {
+  const ages: number[] = [];
   const time = new ManualTime(1_700_000_000_000);
   const listener = {
-    recordLostTarget: ({incarnationId}: SuspectRequest) => confirmed.push(incarnationId),
+    recordLostTarget: (_suspect: SuspectRequest, ageMs: number) => ages.push(ageMs),
     recordDiscardedLoss: () => undefined,
   };
   const losses = new PendingLosses(listener, {closedTogether: () => true}, time);
-  for (const fingerprints of [['f', 'g'], ['f']]) {
-    for (const fingerprint of fingerprints) losses.add({...loss, fingerprint}, loss.incarnationId);
-    time.advance(closeSpreadMs + 1);
-    losses.review();
-  }
-  expect(confirmed).toEqual(['i-1@1000', 'i-1@1000', 'i-1@1000+1']);
+  losses.add(loss, loss.incarnationId);
+  time.advance(700);
+  act(losses);
+  expect(ages).toEqual([700]);
 });
--- a/packages/gateway/src/pending_losses.ts
+++ b/packages/gateway/src/pending_losses.ts
@@ -23,6 +23,8 @@
 export interface LostConnection extends SuspectRequest {
   readonly targetId: string;
   readonly address: SocketAddress;
+  /** Time from when the request was sent until the connection was lost. */
+  readonly elapsedMs: number;
 }
 
 /** Receives what became of the lost connections. */
@@ -51,7 +53,7 @@
 /** The losses of one gateway that are neither confirmed nor discarded. */
 export class PendingLosses {
   private pending: readonly PendingLoss[] = [];
-  /** When the connections to a process closed together, by its incarnation id as far as it is registered. */
+  /** When the processes under one record ended, by the incarnation id of the record. */
   private readonly endTimesMs = new Map<string, readonly number[]>();
 
   constructor(
@@ -99,22 +101,30 @@
       ({targetId, lostAtMs}) =>
         nowMs - lostAtMs >= closeSpreadMs && this.connections.closedTogether(targetId, lostAtMs),
     );
+    // Each of them tells of an end of its own.
     for (const loss of ended) this.confirmEnded(loss);
     this.discard(({lostAtMs}) => nowMs - lostAtMs >= processEndNoticeMs);
   }
 
+  private confirm(isConfirmed: (loss: PendingLoss) => boolean): void {
+    // Only the last loss tells when the process ended; it may have gone on after the earlier ones.
+    for (const loss of [...this.take(isConfirmed)].reverse()) this.confirmEnded(loss);
+  }
+
   /**
-   * Confirms a loss, and distinguishes the process from the next one under the same record: a process that starts again
-   * at once may crash several times before its record tells of the first start.
+   * Confirms a loss, and distinguishes the process from the next one under the same record, which is the one that had the
+   * request if it was sent after an end: a process that starts again at once may crash several times before its record
+   * tells of the first start.
    */
   private confirmEnded(loss: PendingLoss): void {
-    const {incarnationId, lostAtMs} = loss;
+    const {incarnationId, lostAtMs, elapsedMs} = loss;
     const endTimesMs = this.endTimesMs.get(incarnationId) ?? [];
-    const earlierEnds = endTimesMs.filter(endMs => lostAtMs - endMs > closeSpreadMs).length;
+    const sentAtMs = lostAtMs - elapsedMs;
+    const earlierEnds = endTimesMs.filter(endMs => sentAtMs - endMs > closeSpreadMs).length;
     if (earlierEnds === endTimesMs.length) this.recordEnd(incarnationId, lostAtMs);
     const suffix = earlierEnds === 0 ? '' : `+${earlierEnds}`;
     const confirmed = {...loss, incarnationId: `${incarnationId}${suffix}`};
-    this.listener.recordLostTarget(confirmed, this.ageMs(loss));
+    this.listener.recordLostTarget(confirmed, this.time.monotonicMs() - lostAtMs);
   }
 
   private recordEnd(incarnationId: string, endMs: number): void {
@@ -132,16 +142,6 @@
     this.discard(loss => loss === oldest);
   }
 
-  private confirm(isConfirmed: (loss: PendingLoss) => boolean): void {
-    for (const loss of this.take(isConfirmed)) {
-      this.listener.recordLostTarget(loss, this.ageMs(loss));
-    }
-  }
-
-  private ageMs({lostAtMs}: PendingLoss): number {
-    return this.time.monotonicMs() - lostAtMs;
-  }
-
   private discard(isDiscarded: (loss: PendingLoss) => boolean): void {
     for (const {fingerprint, targetId} of this.take(isDiscarded)) {
       this.listener.recordDiscardedLoss(fingerprint, targetId);
--- a/packages/gateway/src/record_exchange_end.ts
+++ b/packages/gateway/src/record_exchange_end.ts
@@ -117,11 +117,11 @@
 function recordLostConnection({parts, attempt, placement, forwarded}: ExchangeContext): void {
   const {target} = placement;
   target.health.markSuspect(parts.time.monotonicMs());
-  const {incarnationId, isRepeat} = attempt;
+  const {incarnationId, isRepeat, elapsedMs} = attempt;
   const {fingerprint} = forwarded;
   const {id: targetId, address} = target;
   parts.pendingLosses.add(
-    {fingerprint, incarnationId, isRepeat, targetId, address},
+    {fingerprint, incarnationId, isRepeat, targetId, address, elapsedMs},
     target.incarnationId,
   );
 }
