Keep the time of each loss of a suspicion, so that answers in between count

Traced in the logs of the gateways: (1) a suspicion kept only the time of its last loss. A gateway that heard of an answer after it had merged a later loss kept the losses before the answer. (2) The numbers that tell apart processes under one record counted all ends that one gateway had seen. Gateways that had seen different ends gave one end different names, which counted as several lost targets ('i-1@x', 'i-1@x+1', 'i-1@x+2').

Change: suspicions carry the time of each loss (target_losses), and an answer removes exactly the losses before it, in whatever order they are told; heartbeats of earlier versions are read as before. Ends are numbered for each request apart, beginning with those that other gateways had told of when it was sent.

--- a/packages/gateway/__tests__/peer_table.test.ts
+++ b/packages/gateway/__tests__/peer_table.test.ts
@@ -143,7 +143,9 @@
   ] as const;
   test('decodes what it encodes', () => {
     const answers = [{fingerprint: 'g', answeredAtMs: 6}];
-    const full = {...message, relayed, answers};
+    const lostAt = {lostAtMs: [3, 4], repeatLostAtMs: [4]};
+    const suspicions = message.suspicions.map(told => ({...told, ...lostAt}));
+    const full = {...message, suspicions, relayed, answers};
     expect(decodePeerMessage(encodePeerMessage(full))).toEqual(full);
   });
 
@@ -185,6 +187,10 @@
       JSON.stringify({...message, relayed: Buffer.alloc(17, 9).toString('base64')}),
     ],
     ['a broken answer', JSON.stringify({...message, answers: [{fingerprint: 'f'}]})],
+    [
+      'a suspicion without the time of each loss',
+      JSON.stringify({...message, suspicions: [{...message.suspicions[0], lostAtMs: [1]}]}),
+    ],
     ['a broken suspicion', JSON.stringify({...message, suspicions: [{fingerprint: 'f'}]})],
   ];
   test.each(unreadable)('rejects %s', (_name, text) => {
--- a/packages/gateway/__tests__/pending_losses.test.ts
+++ b/packages/gateway/__tests__/pending_losses.test.ts
@@ -13,6 +13,7 @@
   targetId: 'i-1',
   address,
   elapsedMs: 1,
+  knownEndCount: 0,
 };
 
 interface LossCase {
@@ -106,8 +107,11 @@
   readonly fingerprints: readonly (readonly string[])[];
   /** Time for which the requests had run when their connections were lost; 0 by default. */
   readonly elapsedMs?: number;
+  /** Ends under the record that other gateways had told of when the requests were sent; none by default. */
+  readonly knownEndCount?: number;
   /** What tells of the ends, after each moment. */
   readonly confirm: readonly ((losses: PendingLosses) => void)[];
+  /** The requests and the processes for which they count, in the order in which they are confirmed. */
   readonly expected: readonly string[];
 }
 
@@ -120,69 +124,84 @@
     name: 'the connections close together each time',
     fingerprints: [['f', 'g'], ['f']],
     confirm: [closeTogether, closeTogether],
-    expected: ['i-1@1000', 'i-1@1000', 'i-1@1000+1'],
+    expected: ['f i-1@1000', 'g i-1@1000', 'f i-1@1000+1'],
   },
   {
     name: 'the connections close together each time, which is noticed only later',
     fingerprints: [['f'], ['f']],
     confirm: [knowNothing, closeTogether],
-    expected: ['i-1@1000', 'i-1@1000+1'],
+    expected: ['f i-1@1000', 'f i-1@1000+1'],
   },
   {
     name: 'the connections close together, then a probe finds no one',
     fingerprints: [['f'], ['f']],
     confirm: [closeTogether, findNoOne],
-    expected: ['i-1@1000', 'i-1@1000+1'],
+    expected: ['f i-1@1000', 'f i-1@1000+1'],
   },
   {
     name: 'a probe finds no one, then the connections close together',
     fingerprints: [['f'], ['f']],
     confirm: [findNoOne, closeTogether],
-    expected: ['i-1@1000', 'i-1@1000+1'],
+    expected: ['f i-1@1000', 'f i-1@1000+1'],
   },
   {
     name: 'a probe finds no one each time',
     fingerprints: [['f'], ['f', 'g'], ['f']],
     confirm: [findNoOne, findNoOne, findNoOne],
-    expected: ['i-1@1000', 'i-1@1000+1', 'i-1@1000+1', 'i-1@1000+2'],
+    expected: ['f i-1@1000', 'g i-1@1000', 'f i-1@1000+1', 'f i-1@1000+2'],
   },
   {
     name: 'the connections close together, then the target registers with a later start',
     fingerprints: [['f'], ['f']],
     confirm: [closeTogether, losses => losses.onProcessRegistered(recordAt('i-1', 2_000))],
-    expected: ['i-1@1000', 'i-1@1000+1'],
+    expected: ['f i-1@1000', 'f i-1@1000+1'],
+  },
+  {
+    // Another gateway that did not see the first end would count the second one under another name.
+    name: 'another request was lost before',
+    fingerprints: [['g'], ['f']],
+    confirm: [closeTogether, closeTogether],
+    expected: ['g i-1@1000', 'f i-1@1000'],
+  },
+  {
+    name: 'another gateway had told of an end',
+    fingerprints: [['f']],
+    knownEndCount: 1,
+    confirm: [findNoOne],
+    expected: ['f i-1@1000+1'],
   },
   {
     name: 'the second request was sent before the first end',
     fingerprints: [['f'], ['f']],
     elapsedMs: 100,
     confirm: [findNoOne, findNoOne],
-    expected: ['i-1@1000', 'i-1@1000'],
+    expected: ['f i-1@1000', 'f i-1@1000'],
   },
   {
     // The first connection may have been lost at a process that went on.
     name: 'one probe finds no one after both',
     fingerprints: [['f'], ['f']],
     confirm: [knowNothing, findNoOne],
-    expected: ['i-1@1000', 'i-1@1000'],
+    expected: ['f i-1@1000', 'f i-1@1000'],
   },
 ];
 
 // Guards against counting several crashes of a target as one, because it starts again faster than its record changes.
 test.each(repeatedLossCases)(
-  'losses under one record are $expected when $name',
-  ({fingerprints, elapsedMs = 0, confirm, expected}) => {
+  'tells the processes under one record apart: $name',
+  ({fingerprints, elapsedMs = 0, knownEndCount = 0, confirm, expected}) => {
     const confirmed: string[] = [];
     const time = new ManualTime(1_700_000_000_000);
     const listener = {
-      recordLostTarget: ({incarnationId}: SuspectRequest) => confirmed.push(incarnationId),
+      recordLostTarget: ({fingerprint, incarnationId}: SuspectRequest) =>
+        confirmed.push(`${fingerprint} ${incarnationId}`),
       recordDiscardedLoss: () => undefined,
     };
     const connections = {closedTogether: () => confirm.includes(closeTogether)};
     const losses = new PendingLosses(listener, connections, time);
     for (const [moment, lost] of fingerprints.entries()) {
       for (const fingerprint of lost) {
-        losses.add({...loss, fingerprint, elapsedMs}, loss.incarnationId);
+        losses.add({...loss, fingerprint, elapsedMs, knownEndCount}, loss.incarnationId);
       }
       time.advance(closeSpreadMs + 1);
       confirm[moment]?.(losses);
--- a/packages/gateway/__tests__/poison_tracker.test.ts
+++ b/packages/gateway/__tests__/poison_tracker.test.ts
@@ -168,6 +168,18 @@
       },
       isQuarantined: false,
     },
+    {
+      name: 'an answer between two losses outweighs the first, though it is told after both',
+      act: (first, second, time) => {
+        first.recordLostTarget(lossAt('i-1@1'), 0);
+        time.advance(100);
+        second.recordAnswered('f', 'i-3', 200);
+        time.advance(100);
+        first.recordLostTarget(lossAt('i-2@1'), 0);
+        first.recordLostTarget(lossAt('i-4@1'), 0);
+      },
+      isQuarantined: false,
+    },
     {
       name: 'losses after the answer count',
       act: (first, second, time) => {
@@ -193,3 +205,17 @@
     ]);
   });
 });
+
+describe('processes under one record', () => {
+  // Guards against a crash at one gateway that counts as an earlier one at another, and the other way round.
+  test.each([
+    {lost: [], count: 0},
+    {lost: ['i-1@1'], count: 1},
+    {lost: ['i-1@1', 'i-1@1+1'], count: 2},
+    {lost: ['i-1@12', 'i-2@1'], count: 0},
+  ])('$count of $lost ended under i-1@1', ({lost, count}) => {
+    const {tracker} = makeTracker();
+    for (const incarnationId of lost) tracker.recordLostTarget(lossAt(incarnationId), 0);
+    expect(tracker.endCount('f', 'i-1@1')).toBe(count);
+  });
+});
--- a/packages/gateway/src/forwarding.ts
+++ b/packages/gateway/src/forwarding.ts
@@ -288,8 +288,11 @@
     const {target} = placement;
     return Effect.suspend(() => {
       const startedAtMs = parts.time.monotonicMs();
-      const isRepeat = record.lostCount > 0 || parts.poison.isSuspected(forwarded.fingerprint);
-      const attempt = {placement, incarnationId: target.incarnationId, isRepeat};
+      const {fingerprint} = forwarded;
+      const {incarnationId} = target;
+      const isRepeat = record.lostCount > 0 || parts.poison.isSuspected(fingerprint);
+      const knownEndCount = parts.poison.endCount(fingerprint, incarnationId);
+      const attempt = {placement, incarnationId, isRepeat, knownEndCount};
       record.recordStart(target.id);
       target.load.recordStart();
       target.directives.rateLimiter.recordSend(startedAtMs);
--- a/packages/gateway/src/peer_message.ts
+++ b/packages/gateway/src/peer_message.ts
@@ -67,7 +67,18 @@
   }
   // Gateways of earlier versions do not distinguish repeats; they count every lost target.
   const repeatTargetIds = listField(from, 'repeatTargetIds', asString) ?? targetIds;
-  return {fingerprint, untilMs, targetIds, repeatTargetIds};
+  const suspicion = {fingerprint, untilMs, targetIds, repeatTargetIds};
+  // Nor do they tell when each target was lost.
+  if (from['lostAtMs'] === undefined) return suspicion;
+  const lostAtMs = listField(from, 'lostAtMs', asNumber);
+  const repeatLostAtMs = listField(from, 'repeatLostAtMs', asNumber);
+  if (lostAtMs?.length !== targetIds.length) return undefined;
+  if (repeatLostAtMs?.length !== repeatTargetIds.length) return undefined;
+  return {...suspicion, lostAtMs, repeatLostAtMs};
+}
+
+function asNumber(value: unknown): number | undefined {
+  return typeof value === 'number' ? value : undefined;
 }
 
 function asString(value: unknown): string | undefined {
--- a/packages/gateway/src/pending_losses.ts
+++ b/packages/gateway/src/pending_losses.ts
@@ -8,7 +8,7 @@
 import type {TimeSource} from '@cuminsill/utils';
 import {closeSpreadMs} from './connection_history';
 import type {TargetRecord} from './gateway_types';
-import {incarnationIdOf} from './target';
+import {incarnationIdOf, laterIncarnationId} from './target';
 
 /** A request that may have crashed the target that had it. */
 export interface SuspectRequest {
@@ -25,6 +25,8 @@
   readonly address: SocketAddress;
   /** Time from when the request was sent until the connection was lost. */
   readonly elapsedMs: number;
+  /** Processes under the same record that were known to have ended under the request, at any gateway, when it was sent. */
+  readonly knownEndCount: number;
 }
 
 /** Receives what became of the lost connections. */
@@ -39,6 +41,13 @@
   readonly lostAtMs: number;
 }
 
+/** The end of a process. */
+interface ProcessEnd {
+  readonly atMs: number;
+  /** Requests that the process had. */
+  readonly fingerprints: ReadonlySet<string>;
+}
+
 /** Tells whether all connections to a target closed at the time when one of them was lost. */
 export interface ClosedConnections {
   closedTogether(targetId: string, lostAtMs: number): boolean;
@@ -53,8 +62,8 @@
 /** The losses of one gateway that are neither confirmed nor discarded. */
 export class PendingLosses {
   private pending: readonly PendingLoss[] = [];
-  /** When the processes under one record ended, by the incarnation id of the record. */
-  private readonly endTimesMs = new Map<string, readonly number[]>();
+  /** Ends of the processes under one record, in their order, by the incarnation id of the record. */
+  private readonly ends = new Map<string, readonly ProcessEnd[]>();
 
   constructor(
     private readonly listener: LossListener,
@@ -112,29 +121,33 @@
   }
 
   /**
-   * Confirms a loss, and distinguishes the process from the next one under the same record, which is the one that had the
-   * request if it was sent after an end: a process that starts again at once may crash several times before its record
-   * tells of the first start.
+   * Confirms a loss, and distinguishes the process from earlier ones under the same record that had the same request: a
+   * process that starts again at once may crash several times before its record tells of the first start. Only ends under
+   * the same request are numbered, because another gateway may not have seen the other ends.
    */
   private confirmEnded(loss: PendingLoss): void {
-    const {incarnationId, lostAtMs, elapsedMs} = loss;
-    const endTimesMs = this.endTimesMs.get(incarnationId) ?? [];
+    const {incarnationId, fingerprint, lostAtMs, elapsedMs, knownEndCount} = loss;
+    const ends = this.ends.get(incarnationId) ?? [];
     const sentAtMs = lostAtMs - elapsedMs;
-    const earlierEnds = endTimesMs.filter(endMs => sentAtMs - endMs > closeSpreadMs).length;
-    if (earlierEnds === endTimesMs.length) this.recordEnd(incarnationId, lostAtMs);
-    const suffix = earlierEnds === 0 ? '' : `+${earlierEnds}`;
-    const confirmed = {...loss, incarnationId: `${incarnationId}${suffix}`};
+    const earlier = ends.filter(({atMs}) => sentAtMs - atMs > closeSpreadMs);
+    const [end = {atMs: lostAtMs, fingerprints: new Set<string>()}, ...later] = ends.slice(
+      earlier.length,
+    );
+    const fingerprints = new Set([...end.fingerprints, fingerprint]);
+    this.rememberEnds(incarnationId, [...earlier, {...end, fingerprints}, ...later]);
+    const earlierCount = earlier.filter(({fingerprints: had}) => had.has(fingerprint)).length;
+    const id = laterIncarnationId(incarnationId, Math.max(earlierCount, knownEndCount));
+    const confirmed = {...loss, incarnationId: id};
     this.listener.recordLostTarget(confirmed, this.time.monotonicMs() - lostAtMs);
   }
 
-  private recordEnd(incarnationId: string, endMs: number): void {
-    const endTimesMs = this.endTimesMs.get(incarnationId) ?? [];
+  private rememberEnds(incarnationId: string, ends: readonly ProcessEnd[]): void {
     // Deleting first moves the id to the end, so that the one that ended longest ago is evicted first.
-    this.endTimesMs.delete(incarnationId);
-    this.endTimesMs.set(incarnationId, [...endTimesMs, endMs].slice(-maxEndsPerIncarnation));
-    if (this.endTimesMs.size <= maxPendingLosses) return;
-    const [oldest] = this.endTimesMs.keys();
-    if (oldest !== undefined) this.endTimesMs.delete(oldest);
+    this.ends.delete(incarnationId);
+    this.ends.set(incarnationId, ends.slice(-maxEndsPerIncarnation));
+    if (this.ends.size <= maxPendingLosses) return;
+    const [oldest] = this.ends.keys();
+    if (oldest !== undefined) this.ends.delete(oldest);
   }
 
   private discardOldest(): void {
--- a/packages/gateway/src/poison_tracker.ts
+++ b/packages/gateway/src/poison_tracker.ts
@@ -8,6 +8,7 @@
 import type {GatewayMetrics} from './gateway_metrics';
 import type {SuspectRequest} from './pending_losses';
 import {SharedAnswers} from './shared_answers';
+import {isIncarnationOf} from './target';
 
 /** What happened to a piece of evidence; written to the log and counted. */
 export type PoisonEvent =
@@ -40,6 +41,12 @@
     return this.guard.isSuspected(fingerprint);
   }
 
+  /** Number of processes under one record that are known to have ended under the request since it was last answered. */
+  endCount(fingerprint: string, incarnationId: string): number {
+    const lostTargetIds = this.guard.lostTargetIds(fingerprint);
+    return lostTargetIds.filter(id => isIncarnationOf(id, incarnationId)).length;
+  }
+
   /** True if one more target that goes down under the request, sent again or not, would quarantine it. */
   wouldQuarantine(fingerprint: string, isRepeat: boolean): boolean {
     return this.guard.wouldQuarantine(fingerprint, isRepeat);
--- a/packages/gateway/src/record_exchange_end.ts
+++ b/packages/gateway/src/record_exchange_end.ts
@@ -18,6 +18,8 @@
   readonly incarnationId: string;
   /** True if the request was sent after a target was known to have gone down under it. */
   readonly isRepeat: boolean;
+  /** Processes under the target's record that were known to have ended under the request when it was sent. */
+  readonly knownEndCount: number;
 }
 
 interface ExchangeContext {
@@ -117,11 +119,11 @@
 function recordLostConnection({parts, attempt, placement, forwarded}: ExchangeContext): void {
   const {target} = placement;
   target.health.markSuspect(parts.time.monotonicMs());
-  const {incarnationId, isRepeat, elapsedMs} = attempt;
+  const {incarnationId, isRepeat, knownEndCount, elapsedMs} = attempt;
   const {fingerprint} = forwarded;
   const {id: targetId, address} = target;
   parts.pendingLosses.add(
-    {fingerprint, incarnationId, isRepeat, targetId, address, elapsedMs},
+    {fingerprint, incarnationId, isRepeat, knownEndCount, targetId, address, elapsedMs},
     target.incarnationId,
   );
 }
--- a/packages/gateway/src/target.ts
+++ b/packages/gateway/src/target.ts
@@ -13,6 +13,16 @@
   return `${id}@${startedAtMs}`;
 }
 
+/** Identifies the process that follows a number of others under the same record. */
+export function laterIncarnationId(incarnationId: string, earlierCount: number): string {
+  return earlierCount === 0 ? incarnationId : `${incarnationId}+${earlierCount}`;
+}
+
+/** True if an id names the process of a record or a later one under it. */
+export function isIncarnationOf(id: string, incarnationId: string): boolean {
+  return id === incarnationId || id.startsWith(`${incarnationId}+`);
+}
+
 /** A target with its load, health and recent objects. */
 export class Target {
   readonly load = new TargetLoad();
--- a/packages/steering/__tests__/poison_guard.test.ts
+++ b/packages/steering/__tests__/poison_guard.test.ts
@@ -185,6 +185,81 @@
     },
   );
 
+  interface AnswerOrderCase {
+    readonly name: string;
+    /** Losses, as [ms after the start, target]; the request is sent again each time. */
+    readonly losses: ReadonlyArray<readonly [number, string]>;
+    /** When another instance saw an answer. */
+    readonly answeredAfterMs: number;
+    readonly expected: readonly string[];
+  }
+  const answerOrderCases: readonly AnswerOrderCase[] = [
+    {
+      name: 'an answer between two losses removes the first',
+      losses: [
+        [0, 't1'],
+        [1_000, 't2'],
+      ],
+      answeredAfterMs: 500,
+      expected: ['t2'],
+    },
+    {
+      name: 'an answer before all losses removes none',
+      losses: [
+        [0, 't1'],
+        [1_000, 't2'],
+      ],
+      answeredAfterMs: -1,
+      expected: ['t1', 't2'],
+    },
+    {
+      name: 'an answer after all losses removes them',
+      losses: [
+        [0, 't1'],
+        [1_000, 't2'],
+      ],
+      answeredAfterMs: 1_000,
+      expected: [],
+    },
+    {
+      name: 'a target that is lost again counts from the last time',
+      losses: [
+        [0, 't1'],
+        [1_000, 't1'],
+      ],
+      answeredAfterMs: 500,
+      expected: ['t1'],
+    },
+  ];
+
+  // Guards against a frequent request that is refused for losses which were answered in between, because the instance
+  // hears of the answer after the last loss.
+  test.each(answerOrderCases)('$name', ({losses, answeredAfterMs, expected}) => {
+    const answer = {fingerprint: 'f', answeredAtMs: startMs + answeredAfterMs};
+    const oneLoss = ([lostAfterMs, targetId]: readonly [number, string]): PoisonSuspicion => ({
+      fingerprint: 'f',
+      targetIds: [targetId],
+      repeatTargetIds: [targetId],
+      untilMs: startMs + lostAfterMs + suspicionTtlMs,
+    });
+    const lists = losses.map(loss => [oneLoss(loss)]);
+    const time = new ManualTime(startMs + 2_000);
+    const answeredLast = new PoisonGuard(time);
+    for (const list of lists) answeredLast.mergeSuspicions(list);
+    answeredLast.mergeAnswer(answer);
+    const answeredFirst = new PoisonGuard(time);
+    answeredFirst.mergeAnswer(answer);
+    for (const list of lists) answeredFirst.mergeSuspicions(list);
+    const hearsOfBoth = new PoisonGuard(time);
+    hearsOfBoth.mergeAnswer(answer);
+    const tellsOfBoth = new PoisonGuard(time);
+    for (const list of lists) tellsOfBoth.mergeSuspicions(list);
+    hearsOfBoth.mergeSuspicions(tellsOfBoth.suspicions());
+    for (const guard of [answeredLast, answeredFirst, hearsOfBoth]) {
+      expect(guard.lostTargetIds('f')).toEqual(expected);
+    }
+  });
+
   // Otherwise, two instances that each know of one lost target would both send the request again.
   test('adds up lost targets that different instances saw', () => {
     const first = guardWith().recordLostTarget('f', 't1', true);
--- a/packages/steering/src/poison_guard.ts
+++ b/packages/steering/src/poison_guard.ts
@@ -12,9 +12,21 @@
 import type {AnsweredRequest, PoisonSuspicion} from '@cuminsill/types';
 import type {TimeSource} from '@cuminsill/utils';
 import type {PoisonDecisions} from './steering_types';
-
-/** How long a suspicion lasts after the last lost target, and how long an answer is remembered. */
-export const suspicionTtlMs = 600_000;
+import type {TargetLosses} from './target_losses';
+import {
+  lastLossAtMs,
+  limitLossTimes,
+  lossesAfter,
+  lossesOf,
+  lossesUntil,
+  lossOf,
+  lostTargetIdsOf,
+  mergeLosses,
+  suspicionOf,
+  suspicionTtlMs,
+} from './target_losses';
+
+export {suspicionTtlMs} from './target_losses';
 
 /** Number of distinct targets that a request must have taken down before it is refused. */
 export const targetsUntilQuarantine = 2;
@@ -28,17 +40,11 @@
 /** Maximum number of answered fingerprints; the one answered longest ago is evicted first. */
 export const maxAnsweredFingerprints = 10_000;
 
-/** Two targets are enough to refuse a request; more are kept for operators, and the limit keeps messages small. */
-const maxTargetsPerSuspicion = 8;
-
-/** One is enough to tell that the request was sent again; more are kept for operators. */
-const maxRepeatTargetsPerSuspicion = 4;
-
 const minServerErrorStatus = 500;
 
 /** Suspicions and recently answered fingerprints of one instance. */
 export class PoisonGuard implements PoisonDecisions {
-  private readonly suspicionsByFingerprint = new Map<string, PoisonSuspicion>();
+  private readonly lossesByFingerprint = new Map<string, TargetLosses>();
   private readonly answeredAtMsByFingerprint = new Map<string, number>();
 
   /** @param time Its wall clock counts, because instances compare expiry times. */
@@ -46,9 +52,9 @@
 
   /** True if requests with this fingerprint must be refused. */
   isQuarantined(fingerprint: string): boolean {
-    const suspicion = this.suspicionOf(fingerprint);
-    if (suspicion === undefined || suspicion.repeatTargetIds.length === 0) return false;
-    return lostTargetCount(suspicion) >= this.targetLimit(fingerprint);
+    const losses = this.lossesUnder(fingerprint);
+    if (losses === undefined || losses.repeated.size === 0) return false;
+    return lostTargetIdsOf(losses).length >= this.targetLimit(fingerprint);
   }
 
   /**
@@ -56,15 +62,21 @@
    * @param isRepeat True if the request was sent to that target after an earlier loss was known.
    */
   wouldQuarantine(fingerprint: string, isRepeat: boolean): boolean {
-    const suspicion = this.suspicionOf(fingerprint);
-    if (suspicion === undefined) return false;
-    if (!isRepeat && suspicion.repeatTargetIds.length === 0) return false;
-    return lostTargetCount(suspicion) + 1 >= this.targetLimit(fingerprint);
+    const losses = this.lossesUnder(fingerprint);
+    if (losses === undefined) return false;
+    if (!isRepeat && losses.repeated.size === 0) return false;
+    return lostTargetIdsOf(losses).length + 1 >= this.targetLimit(fingerprint);
   }
 
   /** True if a target went down under the request and no answer has followed. */
   isSuspected(fingerprint: string): boolean {
-    return this.suspicionOf(fingerprint) !== undefined;
+    return this.lossesUnder(fingerprint) !== undefined;
+  }
+
+  /** The targets that went down under the request since it was last answered. */
+  lostTargetIds(fingerprint: string): readonly string[] {
+    const losses = this.lossesUnder(fingerprint);
+    return losses === undefined ? [] : lostTargetIdsOf(losses);
   }
 
   /** True if a target answered the request in the last ten minutes. */
@@ -79,34 +91,22 @@
    */
   recordAnswered(fingerprint: string, status: number): PoisonSuspicion | undefined {
     if (status >= minServerErrorStatus) return undefined;
-    this.rememberAnswer(fingerprint, this.time.nowMs());
-    const removed = this.suspicionsByFingerprint.get(fingerprint);
-    this.suspicionsByFingerprint.delete(fingerprint);
-    return removed;
+    return this.recordAnswerAt(fingerprint, this.time.nowMs());
   }
 
-  /**
-   * Records an answer that another instance has seen. Removes and returns the suspicion if its last loss is older; later
-   * losses count on.
-   */
+  /** Records an answer that another instance has seen. Removes and returns the losses before it, if there are any. */
   mergeAnswer({fingerprint, answeredAtMs}: AnsweredRequest): PoisonSuspicion | undefined {
-    const nowMs = this.time.nowMs();
     // A peer whose clock is ahead must not outweigh losses that are still to come.
-    const seenAtMs = Math.min(answeredAtMs, nowMs);
-    const knownAtMs = this.answeredAtMsByFingerprint.get(fingerprint) ?? 0;
-    this.rememberAnswer(fingerprint, Math.max(seenAtMs, knownAtMs));
-    const suspicion = this.suspicionOf(fingerprint);
-    if (suspicion === undefined || !this.isAnsweredSince(suspicion)) return undefined;
-    this.suspicionsByFingerprint.delete(fingerprint);
-    return suspicion;
+    return this.recordAnswerAt(fingerprint, Math.min(answeredAtMs, this.time.nowMs()));
   }
 
-  /** The answer that this instance has seen after the last loss of a suspicion, if any. */
+  /** The last answer that this instance knows of, if it came after a loss of the suspicion. */
   answerSince(suspicion: PoisonSuspicion): AnsweredRequest | undefined {
     const {fingerprint} = suspicion;
     const answeredAtMs = this.answeredAtMsByFingerprint.get(fingerprint);
-    if (answeredAtMs === undefined || !this.isAnsweredSince(suspicion)) return undefined;
-    return {fingerprint, answeredAtMs};
+    if (answeredAtMs === undefined) return undefined;
+    const answered = lossesUntil(lossesOf(suspicion), answeredAtMs);
+    return answered.all.size === 0 ? undefined : {fingerprint, answeredAtMs};
   }
 
   /**
@@ -121,28 +121,24 @@
     isRepeat: boolean,
     ageMs = 0,
   ): PoisonSuspicion | undefined {
-    const untilMs = this.time.nowMs() - ageMs + suspicionTtlMs;
-    const targetIds = [targetId];
-    const repeatTargetIds = isRepeat ? targetIds : [];
-    const suspicion = {fingerprint, targetIds, repeatTargetIds, untilMs};
-    if (ageMs > 0 && this.isAnsweredSince(suspicion)) return undefined;
-    const merged = this.mergeSuspicion(suspicion);
+    const lostAtMs = this.time.nowMs() - ageMs;
+    if (ageMs > 0 && lostAtMs <= this.answeredAtMs(fingerprint)) return undefined;
+    const losses = this.addLosses(fingerprint, lossOf(targetId, lostAtMs, isRepeat));
     this.evictOldest();
-    return merged;
+    return suspicionOf(fingerprint, losses);
   }
 
   /**
-   * Merges the suspicions of other instances. Ignores expired suspicions, those without a target and those whose last loss
-   * is older than an answer that this instance has seen.
+   * Merges the suspicions of other instances. Ignores expired suspicions, those without a target, and losses before an
+   * answer that this instance knows of.
    */
   mergeSuspicions(suspicions: readonly PoisonSuspicion[]): void {
     const nowMs = this.time.nowMs();
     for (const suspicion of suspicions) {
       if (suspicion.untilMs <= nowMs || suspicion.targetIds.length === 0) continue;
-      if (this.isAnsweredSince(suspicion)) continue;
-      // A peer whose clock is ahead must not extend a quarantine beyond ten minutes from now.
-      const untilMs = Math.min(suspicion.untilMs, nowMs + suspicionTtlMs);
-      this.mergeSuspicion({...suspicion, untilMs});
+      const {fingerprint} = suspicion;
+      const losses = lossesAfter(lossesOf(suspicion), this.answeredAtMs(fingerprint));
+      if (losses.all.size > 0) this.addLosses(fingerprint, limitLossTimes(losses, nowMs));
     }
     this.evictOldest();
   }
@@ -150,15 +146,19 @@
   /** Suspicions that have not expired, ordered by fingerprint. */
   suspicions(): readonly PoisonSuspicion[] {
     this.removeExpired();
-    return [...this.suspicionsByFingerprint.values()].sort((a, b) =>
-      a.fingerprint < b.fingerprint ? -1 : 1,
-    );
+    return [...this.lossesByFingerprint]
+      .sort(([a], [b]) => (a < b ? -1 : 1))
+      .map(([fingerprint, losses]) => suspicionOf(fingerprint, losses));
+  }
+
+  /** The losses under a request, unless they have expired. */
+  private lossesUnder(fingerprint: string): TargetLosses | undefined {
+    const losses = this.lossesByFingerprint.get(fingerprint);
+    return losses === undefined || this.isExpired(losses) ? undefined : losses;
   }
 
-  /** The suspicion of a fingerprint, unless it has expired. */
-  private suspicionOf(fingerprint: string): PoisonSuspicion | undefined {
-    const suspicion = this.suspicionsByFingerprint.get(fingerprint);
-    return suspicion !== undefined && suspicion.untilMs > this.time.nowMs() ? suspicion : undefined;
+  private isExpired(losses: TargetLosses): boolean {
+    return lastLossAtMs(losses) + suspicionTtlMs <= this.time.nowMs();
   }
 
   private targetLimit(fingerprint: string): number {
@@ -167,26 +167,26 @@
       : targetsUntilQuarantine;
   }
 
-  private isAnsweredSince({fingerprint, untilMs}: PoisonSuspicion): boolean {
-    const lastLossAtMs = untilMs - suspicionTtlMs;
-    const answeredAtMs = this.answeredAtMsByFingerprint.get(fingerprint);
-    return answeredAtMs !== undefined && answeredAtMs >= lastLossAtMs;
-  }
-
-  private mergeSuspicion(added: PoisonSuspicion): PoisonSuspicion {
-    const {fingerprint} = added;
-    const current = this.suspicionOf(fingerprint);
-    const merged: PoisonSuspicion = {
-      fingerprint,
-      targetIds: unionOf(current?.targetIds, added.targetIds, maxTargetsPerSuspicion),
-      repeatTargetIds: unionOf(
-        current?.repeatTargetIds,
-        added.repeatTargetIds,
-        maxRepeatTargetsPerSuspicion,
-      ),
-      untilMs: Math.max(current?.untilMs ?? 0, added.untilMs),
-    };
-    this.suspicionsByFingerprint.set(fingerprint, merged);
+  /** When the request was last answered; negative infinity if no answer is known. */
+  private answeredAtMs(fingerprint: string): number {
+    return this.answeredAtMsByFingerprint.get(fingerprint) ?? Number.NEGATIVE_INFINITY;
+  }
+
+  /** Removes and returns the losses before an answer. */
+  private recordAnswerAt(fingerprint: string, answeredAtMs: number): PoisonSuspicion | undefined {
+    this.rememberAnswer(fingerprint, Math.max(answeredAtMs, this.answeredAtMs(fingerprint)));
+    const losses = this.lossesByFingerprint.get(fingerprint);
+    if (losses === undefined) return undefined;
+    const removed = lossesUntil(losses, answeredAtMs);
+    const kept = lossesAfter(losses, answeredAtMs);
+    if (kept.all.size === 0) this.lossesByFingerprint.delete(fingerprint);
+    else this.lossesByFingerprint.set(fingerprint, kept);
+    return removed.all.size === 0 ? undefined : suspicionOf(fingerprint, removed);
+  }
+
+  private addLosses(fingerprint: string, added: TargetLosses): TargetLosses {
+    const merged = mergeLosses(this.lossesUnder(fingerprint), added);
+    this.lossesByFingerprint.set(fingerprint, merged);
     return merged;
   }
 
@@ -204,35 +204,22 @@
   }
 
   private evictOldest(): void {
-    if (this.suspicionsByFingerprint.size <= maxFingerprints) return;
+    if (this.lossesByFingerprint.size <= maxFingerprints) return;
     this.removeExpired();
-    const excess = this.suspicionsByFingerprint.size - maxFingerprints;
+    const excess = this.lossesByFingerprint.size - maxFingerprints;
     if (excess <= 0) return;
-    const oldestFirst = [...this.suspicionsByFingerprint.values()].sort(
-      (a, b) => a.untilMs - b.untilMs || (a.fingerprint < b.fingerprint ? -1 : 1),
+    const oldestFirst = [...this.lossesByFingerprint].sort(
+      ([a, lossesA], [b, lossesB]) =>
+        lastLossAtMs(lossesA) - lastLossAtMs(lossesB) || (a < b ? -1 : 1),
     );
-    for (const {fingerprint} of oldestFirst.slice(0, excess)) {
-      this.suspicionsByFingerprint.delete(fingerprint);
+    for (const [fingerprint] of oldestFirst.slice(0, excess)) {
+      this.lossesByFingerprint.delete(fingerprint);
     }
   }
 
   private removeExpired(): void {
-    const nowMs = this.time.nowMs();
-    for (const [fingerprint, suspicion] of this.suspicionsByFingerprint) {
-      if (suspicion.untilMs <= nowMs) this.suspicionsByFingerprint.delete(fingerprint);
+    for (const [fingerprint, losses] of this.lossesByFingerprint) {
+      if (this.isExpired(losses)) this.lossesByFingerprint.delete(fingerprint);
     }
   }
 }
-
-function lostTargetCount({targetIds, repeatTargetIds}: PoisonSuspicion): number {
-  return new Set([...targetIds, ...repeatTargetIds]).size;
-}
-
-/** Merges two lists of targets; keeps the first ones in the order of their ids, so that all instances keep the same. */
-function unionOf(
-  current: readonly string[] = [],
-  added: readonly string[],
-  maxCount: number,
-): readonly string[] {
-  return [...new Set([...current, ...added])].sort().slice(0, maxCount);
-}
--- a/packages/types/src/reports.ts
+++ b/packages/types/src/reports.ts
@@ -24,6 +24,13 @@
   readonly targetIds: readonly string[];
   /** Those of them that went down under a request that was sent after an earlier loss was known. */
   readonly repeatTargetIds: readonly string[];
+  /**
+   * When each of the targets went down, in the order of `targetIds` and in milliseconds since the Unix epoch. Without it, all
+   * of them went down ten minutes before the suspicion expires.
+   */
+  readonly lostAtMs?: readonly number[];
+  /** The same for `repeatTargetIds`. */
+  readonly repeatLostAtMs?: readonly number[];
   /** When the suspicion expires, in milliseconds since the Unix epoch. */
   readonly untilMs: number;
 }
