--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -24,6 +24,7 @@
 import type {GatewayPorts} from './gateway_ports';
 import {CurrentSettings} from './gateway_settings';
 import type {GatewayRecord, GatewaySettings} from './gateway_types';
+import {MembershipLog} from './membership_log';
 import type {FeedState, ObjectFeed} from './object_feed';
 import {RoundTripTimes} from './round_trip_times';
 import {PeerExchange} from './peer_exchange';
@@ -58,6 +59,7 @@
   private readonly callerServer: CallerServer;
   private readonly targetProber: TargetProber;
   private readonly peerExchange: PeerExchange;
+  private readonly membershipLog: MembershipLog;
   private readonly pages: GatewayPages;
   private readonly feeds: readonly ObjectFeed<unknown>[];
   private readonly ownRecord: GatewayRecord;
@@ -82,6 +84,7 @@
     this.callerServer = new CallerServer(this.parts);
     this.targetProber = new TargetProber(this.parts);
     this.peerExchange = this.makePeerExchange();
+    this.membershipLog = new MembershipLog(this.parts.peers, this.parts.log);
     this.registration = new SelfRegistration(ports.registry, this.ownRecord, this.parts.log);
     this.feeds = makeFeeds(this.parts, ports, isListed => this.registration.onList(isListed));
     this.pages = makePages(this.parts, ports.lookupWire, {
@@ -259,6 +262,7 @@
   }
 
   private nextHeartbeat(): PeerMessage {
+    this.membershipLog.report();
     if (this.peerState === 'starting' && this.isReady()) this.peerState = 'serving';
     this.heartbeatSequence += 1;
     return {
--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -58,6 +58,12 @@
     labelNames: ['service', 'state'],
     registers: [this.registry],
   });
+  private readonly gateways = new Gauge({
+    name: 'cuminsill_gateways',
+    help: 'Gateways that the store lists, and those of them that count as alive, by state; includes this one',
+    labelNames: ['state'],
+    registers: [this.registry],
+  });
 
   requestStarted(): void {
     this.inFlight.inc();
@@ -91,6 +97,11 @@
     for (const {service, state, count} of counts) this.targets.set({service, state}, count);
   }
 
+  setGatewayCounts(counts: {readonly listed: number; readonly alive: number}): void {
+    this.gateways.set({state: 'listed'}, counts.listed);
+    this.gateways.set({state: 'alive'}, counts.alive);
+  }
+
   /** Returns all metrics in the text format. */
   render(): Promise<string> {
     return this.registry.metrics();
--- a/packages/gateway/src/gateway_pages.ts
+++ b/packages/gateway/src/gateway_pages.ts
@@ -52,6 +52,10 @@
 function metricsPages(parts: GatewayParts, state: PageState): PageServer {
   const metrics = async () => {
     parts.metrics.setTargetCounts(countTargets(parts));
+    parts.metrics.setGatewayCounts({
+      listed: parts.peers.listedGatewayCount(),
+      alive: parts.peers.activeGatewayNames().length,
+    });
     const body = await parts.metrics.render();
     return {status: 200, contentType: 'text/plain; version=0.0.4', body};
   };
