Soak targets that leave in their answers or ask for a pause

Cause: Server-Leaving and Retry-After were only tested with one gateway; several real processes at once were not.

Change: soak profile 'directed' with two faults: a target says in its answers that it leaves while the store lists it as before, and a target rejects everything with Retry-After. Checks target-leaving and target-pause, each for one process of a gateway.

--- a/packages/soak/__tests__/fault_plan.test.ts
+++ b/packages/soak/__tests__/fault_plan.test.ts
@@ -26,6 +26,7 @@
     'mixed',
     'crashing',
     'limited',
+    'directed',
   ] as const) {
     const kinds = new Set(planFaults(1, 400_000, name).map(({kind}) => kind));
     expect([...kinds].sort()).toEqual(Object.keys(faultProfiles[name]).sort());
--- a/packages/soak/__tests__/promise_checks.test.ts
+++ b/packages/soak/__tests__/promise_checks.test.ts
@@ -14,6 +14,7 @@
   leavings: [],
   crashes: [],
   limits: [],
+  directives: [],
   notReady: [],
   memoryPeaks: [{gateway: 'g', bytes: 60e6}],
   healedAtMs: Infinity,
@@ -137,6 +138,51 @@
   expect(brokenChecks(limitedAndSentEvery(250))).not.toContain('target-limit');
 });
 
+/** A target says that it leaves, and a request that is sent some time after its first answer reaches it. */
+function sentAfterLeaving(afterMs: number): Partial<SoakHistory> {
+  const sentAtMs = 10_050 + afterMs;
+  const late = {requestId: 'late', atMs: sentAtMs + 5};
+  return {
+    directives: [{targetId: 't', kind: 'leaving', pauseMs: 0, fromMs: 10_000, untilMs: 20_000}],
+    requests: [sentRequest(), sentRequest({id: 'late', sentAtMs, endedAtMs: sentAtMs + 10})],
+    targetEvents: [...servedEvents, targetEvent('arrived', late)],
+  };
+}
+
+/** A target asks for a pause of 3 s in its first rejection, and more requests from the same process arrive later. */
+function sentInPause(arrivalTimesMs: readonly number[]): Partial<SoakHistory> {
+  const ids = arrivalTimesMs.map((_value, number) => `r-${number}`);
+  return {
+    directives: [{targetId: 't', kind: 'pause', pauseMs: 3_000, fromMs: 10_000, untilMs: 20_000}],
+    requests: ids.map(id => sentRequest({id, end: answeredEnd(503)})),
+    targetEvents: ids.map((requestId, number) =>
+      targetEvent('arrived', {requestId, atMs: arrivalTimesMs[number] ?? 0}),
+    ),
+  };
+}
+
+const allowedDirectives: ReadonlyArray<readonly [string, string, Partial<SoakHistory>]> = [
+  ['target-leaving', 'a request is sent soon after the answer', sentAfterLeaving(2_500)],
+  [
+    'target-leaving',
+    'the gateway was disturbed since the answer',
+    {
+      ...sentAfterLeaving(2_600),
+      disruptions: [{...unplannedDisruption, fromMs: 11_000, untilMs: 11_500}],
+    },
+  ],
+  ['target-pause', 'two requests arrive in the pause', sentInPause([10_000, 11_000, 12_000])],
+  [
+    'target-pause',
+    'requests arrive at once or after the pause',
+    sentInPause([10_000, 10_100, 10_200, 10_500, 13_000, 13_100, 13_200]),
+  ],
+];
+
+test.each(allowedDirectives)('%s allows that %s', (check, _what, history) => {
+  expect(brokenChecks(history)).not.toContain(check);
+});
+
 const violations: ReadonlyArray<readonly [string, string, Partial<SoakHistory>]> = [
   [
     'crashing-request',
@@ -144,6 +190,12 @@
     crashedThriceAndSentFrom(8_000),
   ],
   ['target-limit', 'a target gets twice its limit and more', limitedAndSentEvery(200)],
+  ['target-leaving', 'a request is sent long after the answer', sentAfterLeaving(2_600)],
+  [
+    'target-pause',
+    'three requests arrive in the pause',
+    sentInPause([10_000, 11_000, 12_000, 12_500]),
+  ],
   ['at-most-once', 'a booking runs twice', {targetEvents: [...servedEvents, targetEvent('ran')]}],
   [
     'true-refusal',
--- a/packages/soak/src/fault_plan.ts
+++ b/packages/soak/src/fault_plan.ts
@@ -32,6 +32,8 @@
   | 'join-target'
   | 'break-answers'
   | 'limit-target'
+  | 'leave-in-answers'
+  | 'ask-for-pause'
   | 'configure'
   | 'evacuate';
 
@@ -79,6 +81,7 @@
   'break-answers': 5,
 };
 const limitFaults: FaultProfile = {'limit-target': 4};
+const directiveFaults: FaultProfile = {'leave-in-answers': 3, 'ask-for-pause': 4};
 const plannedOperations: FaultProfile = {
   'stop-gateway': 3,
   'reload-gateway': 2,
@@ -90,7 +93,8 @@
 
 /**
  * Fault profiles by name. With `planned`, which has planned operations only, no request may be cut off. With `crashing`, a
- * caller sends requests that crash targets in addition. With `limited`, targets name limits on their requests.
+ * caller sends requests that crash targets in addition. With `limited`, targets name limits on their requests. With
+ * `directed`, they say in their answers that they leave, or ask for pauses.
  */
 export const faultProfiles = {
   planned: plannedOperations,
@@ -100,6 +104,7 @@
   store: {...storeFaults, ...plannedOperations},
   crashing: {...processFaults, ...targetFaults},
   limited: {...limitFaults, ...plannedOperations},
+  directed: {...directiveFaults, ...plannedOperations},
 } as const satisfies Readonly<Record<string, FaultProfile>>;
 
 /** Name of a profile. */
--- a/packages/soak/src/inject_fault.ts
+++ b/packages/soak/src/inject_fault.ts
@@ -1,6 +1,6 @@
 /** Injects one planned fault: what each kind does, and how it is reverted. */
 import {setTimeout as sleep} from 'node:timers/promises';
-import type {AnswerMode, ObjectStoreFault} from '@cuminsill/standins';
+import type {AnswerMode, EndpointServer, ObjectStoreFault} from '@cuminsill/standins';
 import {noObjectStoreFault} from '@cuminsill/standins';
 import type {FaultKind, PlannedFault} from './fault_plan';
 import type {FaultProxy, LinkState} from './fault_proxy';
@@ -27,6 +27,11 @@
 const minTargetsPerService = 2;
 /** A target names its limit for at least this long, in milliseconds, as the rule counts in windows of four seconds. */
 const minLimitMs = 6_000;
+/** Longer than a leaving target may get requests, in milliseconds, so that later ones are seen. */
+const leavingAnswersMs = 6_000;
+const minPauseS = 2;
+/** Added to the shortest pause at full strength. */
+const pauseRangeS = 4;
 const minLimitPerS = 1;
 /** Added to the lowest limit at full strength. */
 const limitRangePerS = 4;
@@ -65,6 +70,8 @@
   'join-target': joinTarget,
   'break-answers': breakAnswers,
   'limit-target': limitTarget,
+  'leave-in-answers': leaveInAnswers,
+  'ask-for-pause': askForPause,
   configure: changeConfiguration,
   evacuate: evacuateFailureDomain,
 };
@@ -313,6 +320,52 @@
   deployment.recorder.limits.push({targetId, requestsPerS, fromMs, untilMs});
 }
 
+/** Makes a target say that it leaves, while the store lists it as before, and then replaces it. */
+async function leaveInAnswers(deployment: SoakDeployment, fault: PlannedFault): Promise<void> {
+  const reserved = reserveTarget(deployment, fault, true);
+  if (reserved === undefined) return;
+  const {target, endDisruption} = reserved;
+  const {fleet, recorder} = deployment;
+  const fromMs = deployment.nowMs();
+  if (target.server !== undefined) target.server.leaving = true;
+  await sleep(leavingAnswersMs);
+  const untilMs = deployment.nowMs();
+  recorder.directives.push({targetId: target.id, kind: 'leaving', pauseMs: 0, fromMs, untilMs});
+  fleet.removeRecord(target);
+  await sleep(servingAfterLeaveMs);
+  fleet.remove(target);
+  endDisruption();
+  await fleet.add(target.service, target.location.failureDomain, coldMs);
+}
+
+/** Makes a target reject all requests for a time and ask for a pause each time. */
+async function askForPause(deployment: SoakDeployment, fault: PlannedFault): Promise<void> {
+  const reserved = reserveTarget(deployment, fault, true);
+  if (reserved === undefined) return;
+  const {target, endDisruption} = reserved;
+  if (target.server !== undefined) await rejectRequests(deployment, target.server, fault);
+  target.isLeaving = false;
+  endDisruption();
+}
+
+async function rejectRequests(
+  deployment: SoakDeployment,
+  server: EndpointServer,
+  {strength, durationMs}: PlannedFault,
+): Promise<void> {
+  const pauseS = Math.ceil(minPauseS + strength * pauseRangeS);
+  const pauseMs = pauseS * 1_000;
+  const fromMs = deployment.nowMs();
+  server.mode = 'shed';
+  server.retryAfter = String(pauseS);
+  await sleep(pauseMs + durationMs);
+  server.mode = 'normal';
+  server.retryAfter = undefined;
+  const {id: targetId} = server.options;
+  const untilMs = deployment.nowMs();
+  deployment.recorder.directives.push({targetId, kind: 'pause', pauseMs, fromMs, untilMs});
+}
+
 function changeConfiguration(
   deployment: SoakDeployment,
   {selector, strength}: PlannedFault,
--- a/packages/soak/src/promise_bounds.ts
+++ b/packages/soak/src/promise_bounds.ts
@@ -36,4 +36,8 @@
   readonly limitWindowMs: number;
   /** Time after which a gateway that has seen a limit must keep to it. */
   readonly limitNoticeMs: number;
+  /** Time after which a gateway that a target has asked for a pause must keep to it. */
+  readonly pauseNoticeMs: number;
+  /** Requests from one gateway that are allowed in the pause all the same. */
+  readonly maxRequestsInPause: number;
 }
--- a/packages/soak/src/promise_checks.ts
+++ b/packages/soak/src/promise_checks.ts
@@ -2,6 +2,7 @@
  * The promises that a soak checks, each on the whole history of a run. Checks with a time bound depend on the speed of
  * the machine, so they are omitted where the result must be the same on every run.
  */
+import {findArrivalsAfterLeaving, findArrivalsInPause} from './directive_check';
 import {HistoryIndex, labelOf} from './history_index';
 import type {PromiseBounds} from './promise_bounds';
 import {findExcessiveRetries, findRetriesOfCrashingRequests} from './retry_checks';
@@ -40,6 +41,8 @@
   'retry-limit': findExcessiveRetries,
   'crashing-request': findRetriesOfCrashingRequests,
   'target-limit': findArrivalsBeyondLimit,
+  'target-leaving': findArrivalsAfterLeaving,
+  'target-pause': findArrivalsInPause,
   cancellation: findArrivalsAfterCancel,
   'time-out': findLateAnswers,
   recovery: findMissingRecovery,
--- a/packages/soak/src/run_soak.ts
+++ b/packages/soak/src/run_soak.ts
@@ -58,6 +58,8 @@
   limitSlackRequests: 5,
   limitWindowMs: 4_000,
   limitNoticeMs: 500,
+  pauseNoticeMs: 500,
+  maxRequestsInPause: 2,
 };
 
 /** Maximum time until every gateway is ready, at the start and after the faults, in milliseconds. */
--- a/packages/soak/src/soak_history.ts
+++ b/packages/soak/src/soak_history.ts
@@ -101,6 +101,16 @@
   readonly untilMs: number;
 }
 
+/** A period in which the answers of a target asked for something. */
+export interface TargetDirective {
+  readonly targetId: string;
+  /** No more requests because the target leaves, or none for `pauseMs` from each rejection. */
+  readonly kind: 'leaving' | 'pause';
+  readonly pauseMs: number;
+  readonly fromMs: number;
+  readonly untilMs: number;
+}
+
 /** Maximum resident memory of a gateway process. */
 export interface MemoryPeak {
   readonly gateway: string;
@@ -118,6 +128,7 @@
   /** In the order of time. */
   readonly crashes: readonly TargetCrash[];
   readonly limits: readonly TargetLimit[];
+  readonly directives: readonly TargetDirective[];
   readonly memoryPeaks: readonly MemoryPeak[];
   /** Gateways that were not ready in time, at the start or after the faults. */
   readonly notReady: readonly string[];
@@ -136,6 +147,7 @@
   readonly leavings: TargetDeparture[] = [];
   readonly crashes: TargetCrash[] = [];
   readonly limits: TargetLimit[] = [];
+  readonly directives: TargetDirective[] = [];
   readonly notReady: string[] = [];
   private readonly peakBytesByGateway = new Map<string, number>();
   private healedAtMs = Infinity;
@@ -155,7 +167,7 @@
   /** Returns the recorded history. */
   finish(endedAtMs: number): SoakHistory {
     const {requests, targetEvents, disruptions, exits} = this;
-    const {configurations, leavings, crashes, limits} = this;
+    const {configurations, leavings, crashes, limits, directives} = this;
     const memoryPeaks = [...this.peakBytesByGateway].map(([gateway, bytes]) => ({gateway, bytes}));
     return {
       requests,
@@ -166,6 +178,7 @@
       leavings,
       crashes,
       limits,
+      directives,
       notReady: this.notReady,
       memoryPeaks,
       healedAtMs: this.healedAtMs,
