End the gateways of a soak that is interrupted or fails

Cause: three soak runs that ended by an error left twelve gateway processes, which called ports of a later run. Change: the gateways are killed when the soak's process exits, also by SIGINT and SIGTERM.

--- a/packages/soak/src/bin/soak.ts
+++ b/packages/soak/src/bin/soak.ts
@@ -100,4 +100,6 @@
   process.exit(failedSeedCount === 0 ? 0 : 1);
 }
 
+// By default these signals end the process without its exit handlers, which end the gateways.
+for (const signal of ['SIGINT', 'SIGTERM'] as const) process.once(signal, () => process.exit(1));
 void main();
--- a/packages/soak/src/gateway_process.ts
+++ b/packages/soak/src/gateway_process.ts
@@ -28,6 +28,12 @@
 const readyTimeoutMs = 1_000;
 const residentMemoryPattern = /^VmRSS:\s+(\d+) kB$/m;
 
+/** Ended with the soak itself, also by an error: a process that is left calls ports that belong to a later run. */
+const runningChildren = new Set<ChildProcess>();
+process.once('exit', () => {
+  for (const child of runningChildren) child.kill('SIGKILL');
+});
+
 /** A gateway process that can be restarted. */
 export class GatewayProcess {
   /** Number of times that the process has been started. */
@@ -62,11 +68,13 @@
     });
     closeSync(logFd);
     this.child = child;
+    runningChildren.add(child);
     this.incarnation += 1;
     this.isEndRequested = false;
     this.exited = new Promise(resolve =>
       child.once('exit', (exitCode, signal) => {
         this.child = undefined;
+        runningChildren.delete(child);
         const asked = this.isEndRequested;
         this.recorder.exits.push({gateway: this.name, atMs: this.nowMs(), exitCode, signal, asked});
         resolve();
