--- a/packages/steering/src/poison_guard.ts
+++ b/packages/steering/src/poison_guard.ts
@@ -22,6 +22,7 @@
   lossOf,
   lostTargetIdsOf,
   mergeLosses,
+  noLosses,
   suspicionOf,
   suspicionTtlMs,
 } from './target_losses';
@@ -185,7 +186,7 @@
   }
 
   private addLosses(fingerprint: string, added: TargetLosses): TargetLosses {
-    const merged = mergeLosses(this.lossesUnder(fingerprint), added);
+    const merged = mergeLosses(this.lossesUnder(fingerprint) ?? noLosses, added);
     this.lossesByFingerprint.set(fingerprint, merged);
     return merged;
   }
--- a/packages/steering/src/target_losses.ts
+++ b/packages/steering/src/target_losses.ts
@@ -23,7 +23,8 @@
   readonly repeated: LossTimesMs;
 }
 
-const noLosses: TargetLosses = {all: new Map(), repeated: new Map()};
+/** No losses. */
+export const noLosses: TargetLosses = {all: new Map(), repeated: new Map()};
 
 /** The loss of one target. */
 export function lossOf(targetId: string, lostAtMs: number, isRepeat: boolean): TargetLosses {
@@ -61,7 +62,7 @@
 }
 
 /** Merges losses under the same request. */
-export function mergeLosses(first: TargetLosses = noLosses, second: TargetLosses): TargetLosses {
+export function mergeLosses(first: TargetLosses, second: TargetLosses): TargetLosses {
   return {
     all: mergeTimes(first.all, second.all, maxTargetsPerSuspicion),
     repeated: mergeTimes(first.repeated, second.repeated, maxRepeatTargetsPerSuspicion),
