Mend what a newcomer stumbles on in the change since

Comments that needed the code, a method name that said too little (endCount), and a number that the change had dropped (a quarantine of ten minutes from now). No change of behaviour.

--- a/packages/gateway/__tests__/pending_losses.test.ts
+++ b/packages/gateway/__tests__/pending_losses.test.ts
@@ -116,8 +116,8 @@
 }
 
 const closeTogether = (losses: PendingLosses) => losses.review();
-const findNoOne = (losses: PendingLosses) => losses.onProcessEnded('i-1');
-const knowNothing = () => undefined;
+const failProbe = (losses: PendingLosses) => losses.onProcessEnded('i-1');
+const showNothing = () => undefined;
 
 const repeatedLossCases: readonly RepeatedLossCase[] = [
   {
@@ -129,25 +129,25 @@
   {
     name: 'the connections close together each time, which is noticed only later',
     fingerprints: [['f'], ['f']],
-    confirm: [knowNothing, closeTogether],
+    confirm: [showNothing, closeTogether],
     expected: ['f i-1@1000', 'f i-1@1000+1'],
   },
   {
     name: 'the connections close together, then a probe finds no one',
     fingerprints: [['f'], ['f']],
-    confirm: [closeTogether, findNoOne],
+    confirm: [closeTogether, failProbe],
     expected: ['f i-1@1000', 'f i-1@1000+1'],
   },
   {
     name: 'a probe finds no one, then the connections close together',
     fingerprints: [['f'], ['f']],
-    confirm: [findNoOne, closeTogether],
+    confirm: [failProbe, closeTogether],
     expected: ['f i-1@1000', 'f i-1@1000+1'],
   },
   {
     name: 'a probe finds no one each time',
     fingerprints: [['f'], ['f', 'g'], ['f']],
-    confirm: [findNoOne, findNoOne, findNoOne],
+    confirm: [failProbe, failProbe, failProbe],
     expected: ['f i-1@1000', 'g i-1@1000', 'f i-1@1000+1', 'f i-1@1000+2'],
   },
   {
@@ -167,21 +167,21 @@
     name: 'another gateway had told of an end',
     fingerprints: [['f']],
     knownEndCount: 1,
-    confirm: [findNoOne],
+    confirm: [failProbe],
     expected: ['f i-1@1000+1'],
   },
   {
     name: 'the second request was sent before the first end',
     fingerprints: [['f'], ['f']],
     elapsedMs: 100,
-    confirm: [findNoOne, findNoOne],
+    confirm: [failProbe, failProbe],
     expected: ['f i-1@1000', 'f i-1@1000'],
   },
   {
     // The first connection may have been lost at a process that went on.
     name: 'one probe finds no one after both',
     fingerprints: [['f'], ['f']],
-    confirm: [knowNothing, findNoOne],
+    confirm: [showNothing, failProbe],
     expected: ['f i-1@1000', 'f i-1@1000'],
   },
 ];
@@ -213,7 +213,7 @@
 // Guards against a loss that counts as later than an answer that came after it.
 test.each<{readonly name: string; readonly act: (losses: PendingLosses) => void}>([
   {name: 'the connections closed together', act: closeTogether},
-  {name: 'a probe finds no one', act: findNoOne},
+  {name: 'a probe finds no one', act: failProbe},
   {
     name: 'the target registers with a later start',
     act: losses => losses.onProcessRegistered(recordAt('i-1', 2_000)),
--- a/packages/gateway/__tests__/poison_tracker.test.ts
+++ b/packages/gateway/__tests__/poison_tracker.test.ts
@@ -216,6 +216,6 @@
   ])('$count of $lost ended under i-1@1', ({lost, count}) => {
     const {tracker} = makeTracker();
     for (const incarnationId of lost) tracker.recordLostTarget(lossAt(incarnationId), 0);
-    expect(tracker.endCount('f', 'i-1@1')).toBe(count);
+    expect(tracker.endedProcessCount('f', 'i-1@1')).toBe(count);
   });
 });
--- a/packages/gateway/src/forwarding.ts
+++ b/packages/gateway/src/forwarding.ts
@@ -291,7 +291,7 @@
       const {fingerprint} = forwarded;
       const {incarnationId} = target;
       const isRepeat = record.lostCount > 0 || parts.poison.isSuspected(fingerprint);
-      const knownEndCount = parts.poison.endCount(fingerprint, incarnationId);
+      const knownEndCount = parts.poison.endedProcessCount(fingerprint, incarnationId);
       const attempt = {placement, incarnationId, isRepeat, knownEndCount};
       record.recordStart(target.id);
       target.load.recordStart();
--- a/packages/gateway/src/membership_log.ts
+++ b/packages/gateway/src/membership_log.ts
@@ -8,7 +8,7 @@
 /** Keeps a line short when a region starts or ends. */
 const maxNamesPerLine = 8;
 
-/** The changes of the gateways that count as alive. */
+/** Remembers which gateways counted as alive when the last line was written. */
 export class MembershipLog {
   private aliveNames: readonly string[] = [];
 
--- a/packages/gateway/src/pending_losses.ts
+++ b/packages/gateway/src/pending_losses.ts
@@ -110,13 +110,13 @@
       ({targetId, lostAtMs}) =>
         nowMs - lostAtMs >= closeSpreadMs && this.connections.closedTogether(targetId, lostAtMs),
     );
-    // Each of them tells of an end of its own.
+    // Connections that closed together show an end of the process at that moment.
     for (const loss of ended) this.confirmEnded(loss);
     this.discard(({lostAtMs}) => nowMs - lostAtMs >= processEndNoticeMs);
   }
 
   private confirm(isConfirmed: (loss: PendingLoss) => boolean): void {
-    // Only the last loss tells when the process ended; it may have gone on after the earlier ones.
+    // Only the last loss is known to come from the end. Confirmed first, it lets the earlier ones count for the same end.
     for (const loss of [...this.take(isConfirmed)].reverse()) this.confirmEnded(loss);
   }
 
--- a/packages/gateway/src/poison_tracker.ts
+++ b/packages/gateway/src/poison_tracker.ts
@@ -42,7 +42,7 @@
   }
 
   /** Number of processes under one record that are known to have ended under the request since it was last answered. */
-  endCount(fingerprint: string, incarnationId: string): number {
+  endedProcessCount(fingerprint: string, incarnationId: string): number {
     const lostTargetIds = this.guard.lostTargetIds(fingerprint);
     return lostTargetIds.filter(id => isIncarnationOf(id, incarnationId)).length;
   }
--- a/packages/steering/src/target_losses.ts
+++ b/packages/steering/src/target_losses.ts
@@ -54,7 +54,7 @@
   };
 }
 
-/** Counts later losses as of a time: an instance whose clock is ahead must not extend a quarantine. */
+/** Counts later losses as of a time: a peer whose clock is ahead must not extend a quarantine beyond ten minutes from now. */
 export function limitLossTimes({all, repeated}: TargetLosses, maxMs: number): TargetLosses {
   const limit = (timesMs: LossTimesMs) =>
     new Map([...timesMs].map(([id, ms]) => [id, Math.min(ms, maxMs)]));
