Log how late a failed call to the store was noticed, and when the store came back from an older copy

A lost kind now has callMs and answerAgeMs, a change of the store's era has a line of its own, and the metrics page has cuminsill_store_answer_age_seconds for each kind. No decision depends on them.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -81,6 +81,9 @@
     this.parts = this.makeParts();
     const {metrics} = this.parts;
     ports.observeCalls((kind, result) => metrics.storeCallEnded(kind, result));
+    ports.observeEras((formerEra, era) => {
+      this.parts.log.event('store', {event: 'came back from an older copy', formerEra, era});
+    });
     this.callerServer = new CallerServer(this.parts);
     this.targetProber = new TargetProber(this.parts);
     this.peerExchange = this.makePeerExchange();
--- a/packages/gateway/src/gateway_feeds.ts
+++ b/packages/gateway/src/gateway_feeds.ts
@@ -64,8 +64,14 @@
       sink.onConnected(outageMs);
       log.event('store', {kind: source.kind, connected: true, outageMs: Math.round(outageMs)});
     },
-    onDisconnected: error =>
-      log.event('store', {kind: source.kind, connected: false, reason: error.message}),
+    onDisconnected: ({message: reason}, {callMs, answerAgeMs}) =>
+      log.event('store', {
+        kind: source.kind,
+        connected: false,
+        reason,
+        callMs: Math.round(callMs),
+        answerAgeMs: answerAgeMs === undefined ? undefined : Math.round(answerAgeMs),
+      }),
   };
   return new ObjectFeed(source, timing, loggingSink, time) as ObjectFeed<unknown>;
 }
--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -1,4 +1,5 @@
 /** Counters and latency histograms, served as text in the Prometheus format. */
+import type {FeedState} from './object_feed';
 import type {TargetCount} from './status_page';
 import {Counter, Gauge, Histogram, Registry} from 'prom-client';
 
@@ -65,6 +66,13 @@
     registers: [this.registry],
   });
 
+  private readonly storeAnswerAges = new Gauge({
+    name: 'cuminsill_store_answer_age_seconds',
+    help: 'Time since the last answer of the store, by kind of object; a watch without changes is answered at the end of its wait',
+    labelNames: ['kind'],
+    registers: [this.registry],
+  });
+
   requestStarted(): void {
     this.inFlight.inc();
   }
@@ -102,6 +110,12 @@
     this.gateways.set({state: 'alive'}, counts.alive);
   }
 
+  setStoreAnswerAges(feeds: readonly FeedState[]): void {
+    for (const {kind, ageMs} of feeds) {
+      if (ageMs !== undefined) this.storeAnswerAges.set({kind}, ageMs / 1000);
+    }
+  }
+
   /** Returns all metrics in the text format. */
   render(): Promise<string> {
     return this.registry.metrics();
--- a/packages/gateway/src/gateway_pages.ts
+++ b/packages/gateway/src/gateway_pages.ts
@@ -56,6 +56,7 @@
       listed: parts.peers.listedGatewayCount(),
       alive: parts.peers.activeGatewayNames().length,
     });
+    parts.metrics.setStoreAnswerAges(state.feedStates());
     const body = await parts.metrics.render();
     return {status: 200, contentType: 'text/plain; version=0.0.4', body};
   };
--- a/packages/gateway/src/gateway_ports.ts
+++ b/packages/gateway/src/gateway_ports.ts
@@ -26,4 +26,9 @@
   readonly lookupWire: LookupWire;
   /** Reports each further call to the store to the observer, with its kind of object and result. */
   observeCalls(observer: (kind: string, result: string) => void): void;
+  /**
+   * Reports to the observer when the store has come back from an older copy. The store counts its eras; revisions of
+   * different eras cannot be compared.
+   */
+  observeEras(observer: (formerEra: number, era: number) => void): void;
 }
--- a/packages/gateway/src/object_feed.ts
+++ b/packages/gateway/src/object_feed.ts
@@ -27,7 +27,15 @@
    */
   onConnected(outageMs: number): void;
   /** Called when the store becomes unavailable. */
-  onDisconnected(error: SourceError): void;
+  onDisconnected(error: SourceError, failedCall: FailedCall): void;
+}
+
+/** The first call that failed in an outage. */
+export interface FailedCall {
+  /** Time from its start until its failure was noticed, in milliseconds. */
+  readonly callMs: number;
+  /** Time since the last answer of the store, in milliseconds; undefined before the first answer. */
+  readonly answerAgeMs: number | undefined;
 }
 
 const firstBackoffMs = 100;
@@ -66,9 +74,13 @@
   }
 
   state(): FeedState {
+    const {connected, revision} = this;
+    return {kind: this.source.kind, connected, revision, ageMs: this.answerAgeMs()};
+  }
+
+  private answerAgeMs(): number | undefined {
     const {answeredAtMs} = this;
-    const ageMs = answeredAtMs === undefined ? undefined : this.time.monotonicMs() - answeredAtMs;
-    return {kind: this.source.kind, connected: this.connected, revision: this.revision, ageMs};
+    return answeredAtMs === undefined ? undefined : this.time.monotonicMs() - answeredAtMs;
   }
 
   /** Makes one call to the store, delivers its result, and waits before the next call. */
@@ -119,7 +131,8 @@
     if (this.connected && error.failure === 'unavailable') {
       this.connected = false;
       this.firstFailedCallAtMs = this.callStartedAtMs;
-      this.sink.onDisconnected(error);
+      const callMs = this.time.monotonicMs() - this.callStartedAtMs;
+      this.sink.onDisconnected(error, {callMs, answerAgeMs: this.answerAgeMs()});
     }
     this.consecutiveFailures += 1;
     const backoffMs = Math.min(maxBackoffMs, firstBackoffMs * 2 ** (this.consecutiveFailures - 1));
