--- a/packages/standins/src/users_platform/object_store_server.ts
+++ b/packages/standins/src/users_platform/object_store_server.ts
@@ -3,7 +3,7 @@
  * watches, conditional writes, and simulated faults.
  */
 import * as http from 'node:http';
-import type {AddressInfo} from 'node:net';
+import type {AddressInfo, Socket} from 'node:net';
 import type {ObjectEvent} from './object_table';
 import {ObjectTable} from './object_table';
 
@@ -56,6 +56,8 @@
   fault: ObjectStoreFault = noObjectStoreFault;
   /** Received calls as `METHOD kind`, in order. */
   readonly calls: string[] = [];
+  private readonly connections = new Set<Socket>();
+  private readonly silentConnections = new WeakSet<Socket>();
   private readonly server = http.createServer((request, response) => {
     void this.serve(request, response);
   });
@@ -68,6 +70,10 @@
 
   /** Starts listening and returns the port. */
   async start(): Promise<number> {
+    this.server.on('connection', connection => {
+      this.connections.add(connection);
+      connection.once('close', () => this.connections.delete(connection));
+    });
     await new Promise<void>(resolve => this.server.listen(0, '127.0.0.1', resolve));
     return (this.server.address() as AddressInfo).port;
   }
@@ -78,6 +84,11 @@
     this.server.close();
   }
 
+  /** Leaves the open connections without any further answer, while new ones work. */
+  silenceConnections(): void {
+    for (const connection of this.connections) this.silentConnections.add(connection);
+  }
+
   /** Closes all open connections, as at the start of an outage. */
   cutConnections(): void {
     this.server.closeAllConnections();
@@ -93,14 +104,21 @@
     if (this.answerWithFault(kind, response)) return;
     const handler = this.handlers[method];
     if (kind === undefined || handler === undefined) {
-      send(response, {status: 404, body: {}});
+      this.answer(response, {status: 404, body: {}});
       return;
     }
     const call = {kind, name, status: status !== undefined, query: url.searchParams, body};
     const reply = handler(call, response);
     if (reply === undefined) return;
     if (method !== 'GET' && this.fault.losesWriteAnswers) response.destroy();
-    else send(response, reply);
+    else this.answer(response, reply);
+  }
+
+  /** Answers, unless the connection has fallen silent. Returns true, because nothing is left to be done for the call. */
+  private answer(response: http.ServerResponse, reply: Reply): true {
+    const {socket} = response;
+    if (socket === null || !this.silentConnections.has(socket)) send(response, reply);
+    return true;
   }
 
   private answerWithFault(kind: string | undefined, response: http.ServerResponse): boolean {
@@ -108,8 +126,8 @@
     if (onlyKind !== undefined && onlyKind !== kind) return false;
     const faultAnswers: Readonly<Record<StoreMode, () => boolean>> = {
       up: () => false,
-      busy: () => send(response, {status: 503, body: {}}),
-      'rate-limited': () => send(response, {status: 429, body: {}}),
+      busy: () => this.answer(response, {status: 503, body: {}}),
+      'rate-limited': () => this.answer(response, {status: 429, body: {}}),
       reset: () => {
         response.socket?.resetAndDestroy();
         return true;
@@ -151,7 +169,7 @@
     const finish = (reply: Reply) => {
       clearTimeout(timer);
       unsubscribe();
-      send(response, reply);
+      this.answer(response, reply);
     };
     const checkForChanges = () => {
       const events = this.table.changesAfter(kind, revision);
@@ -191,14 +209,13 @@
   }
 }
 
-function send(response: http.ServerResponse, {status, body}: Reply): true {
+function send(response: http.ServerResponse, {status, body}: Reply): void {
   const text = JSON.stringify(body);
   response.writeHead(status, {
     'Content-Type': 'application/json',
     'Content-Length': Buffer.byteLength(text),
   });
   response.end(text);
-  return true;
 }
 
 async function readJson(request: http.IncomingMessage): Promise<Readonly<Record<string, unknown>>> {
--- a/packages/standins/src/users_platform/wire_objects.ts
+++ b/packages/standins/src/users_platform/wire_objects.ts
@@ -119,6 +119,9 @@
 /** Path of the template of a gateway's settings file, relative to the root of the repository. */
 export const settingsTemplateFile = 'platform/gateway_settings.json.template';
 
+/** Time after a disruption from which on the platform expects a gateway to keep all bounds again, in milliseconds. */
+export const settleAfterDisruptionMs = 3_000;
+
 /** Makes the fields that the platform passes to the template, for a gateway on the loopback address. */
 export function templateFields(
   host: string,
@@ -139,6 +142,7 @@
     },
     bounds: {
       graceS: place.stopGraceS,
+      stabilityMs: settleAfterDisruptionMs,
       retryBudgetRatio: 0.2,
       budgetWindowS: place.retryWindowS ?? defaultRetryWindowS,
       budgetSlack: 60,
