Give up calls to the store in time for the bounds to hold again after a disruption

Cause: the timeouts of calls were constants.

Now the timeouts follow from stabilityMs (bounds.resyncMs of the settings): a call is given up within three quarters of it. Targets are protected from removal for 2.3 s after an outage that any feed has noticed, since their own feed may now have missed it.

--- a/packages/gateway/__tests__/gateway_settings.test.ts
+++ b/packages/gateway/__tests__/gateway_settings.test.ts
@@ -15,6 +15,7 @@
   },
   bounds: {
     stopGraceS: 6,
+    resyncMs: 3_000,
     retryRatio: 0.2,
     retryWindowS: 10,
     retrySlackRequests: 60,
--- a/packages/gateway/__tests__/object_feed.test.ts
+++ b/packages/gateway/__tests__/object_feed.test.ts
@@ -7,6 +7,8 @@
 
 type Answer = number | SourceFailure;
 
+const maxWaitMs = 5;
+
 /** A source that gives the answers in turn, each a revision or a failure. */
 function scriptedSource(answers: readonly Answer[]) {
   const calls: string[] = [];
@@ -23,8 +25,8 @@
   const source: ObjectSource<string> = {
     kind: 'things',
     list: () => Effect.map(answer('list'), revision => ({objects: [], revision})),
-    changesAfter: after =>
-      Effect.map(answer(`after ${after}`), revision => ({
+    changesAfter: (after, waitMs) =>
+      Effect.map(answer(waitMs === 0 ? `after ${after} at once` : `after ${after}`), revision => ({
         changes: [{object: {name: 'x', revision, content: 'x'}, deleted: false}],
         revision,
       })),
@@ -48,7 +50,7 @@
   const {sink, events} = recordingSink();
   const feed = new ObjectFeed(
     source,
-    {maxWaitMs: 1, minIntervalMs: 1},
+    () => ({maxWaitMs, answerTimeoutMs: 1, listTimeoutMs: 1, minIntervalMs: 1}),
     sink,
     new ManualTime(),
     () => 1,
@@ -77,7 +79,7 @@
     [
       'a failure keeps the revision, so that no change is missed',
       [5, 'unavailable', 'unavailable', 7],
-      ['list', 'after 5', 'after 5', 'after 5'],
+      ['list', 'after 5', 'after 5 at once', 'after 5 at once'],
       ['regained', 'replace 5', 'lost', 'regained', 'apply 7'],
     ],
     [
@@ -89,7 +91,7 @@
     [
       'rate limiting does not count as an outage',
       [5, 'rate-limited', 6],
-      ['list', 'after 5', 'after 5'],
+      ['list', 'after 5', 'after 5 at once'],
       ['regained', 'replace 5', 'apply 6'],
     ],
   ];
@@ -98,3 +100,30 @@
     expect(await runSteps(answers)).toEqual({calls, events});
   });
 });
+
+/** Guards against a feed that waits on for an answer that was lost, while another feed knows that the store is back. */
+test('a call that started before the given time is made again at once', async () => {
+  const waits: number[] = [];
+  const source: ObjectSource<string> = {
+    kind: 'things',
+    list: () => Effect.succeed({objects: [], revision: 5}),
+    changesAfter: (_revision, waitMs) => {
+      waits.push(waitMs);
+      return waitMs === 0 ? Effect.succeed({changes: [], revision: 5}) : Effect.never;
+    },
+  };
+  const time = new ManualTime();
+  const timing = {maxWaitMs, answerTimeoutMs: 1, listTimeoutMs: 1, minIntervalMs: 1};
+  const feed = new ObjectFeed(source, () => timing, recordingSink().sink, time);
+  const fiber = Effect.runFork(feed.run());
+  const hasCalled = async (count: number) => {
+    while (waits.length < count) await new Promise(resolve => setTimeout(resolve, 1));
+  };
+  await hasCalled(1);
+  feed.resync(time.monotonicMs());
+  time.advance(1);
+  feed.resync(time.monotonicMs());
+  await hasCalled(3);
+  await Effect.runPromise(Fiber.interrupt(fiber));
+  expect(waits).toEqual([maxWaitMs, 0, maxWaitMs]);
+});
--- a/packages/gateway/src/gateway_feeds.ts
+++ b/packages/gateway/src/gateway_feeds.ts
@@ -2,19 +2,12 @@
 import type {GatewayParts} from './gateway_parts';
 import type {GatewayPorts} from './gateway_ports';
 import type {GatewayRecord} from './gateway_types';
-import type {FeedTiming, FeedSink} from './object_feed';
+import type {FeedUrgency} from './feed_timing';
+import {feedTiming} from './feed_timing';
+import type {FeedSink} from './object_feed';
 import {ObjectFeed} from './object_feed';
 import type {ObjectSource} from './object_source';
 
-/** A dead connection to the store is detected within this wait plus the timeout of a call. */
-const longPollMs = 3_000;
-/** Configurations and evacuations change rarely and must take effect at once. */
-const promptTiming: FeedTiming = {maxWaitMs: longPollMs, minIntervalMs: 50};
-/** Targets change often; the interval lets one call fetch several changes. */
-const targetTiming: FeedTiming = {maxWaitMs: longPollMs, minIntervalMs: 600};
-/** Heartbeats show which gateways are alive, so their list may lag. */
-const gatewayTiming: FeedTiming = {maxWaitMs: 20_000, minIntervalMs: 500};
-
 /** A view that takes lists and changes but does not handle outages of the store. */
 type ObjectView<Content> = Pick<FeedSink<Content>, 'replace' | 'apply'>;
 
@@ -28,12 +21,7 @@
   onOwnRecord: (isListed: boolean) => void,
 ): ReadonlyArray<ObjectFeed<unknown>> {
   const {configuration, targets, evacuations, peers} = parts;
-  const targetSink = {
-    replace: targets.replace.bind(targets),
-    apply: targets.apply.bind(targets),
-    onConnected: (outageMs: number) => targets.onStoreConnected(outageMs),
-  };
-  const gatewaySink = sinkFor<GatewayRecord>({
+  const gatewayView: ObjectView<GatewayRecord> = {
     replace: list => {
       peers.replace(list);
       onOwnRecord(peers.isOwnRecordListed);
@@ -42,44 +30,59 @@
       peers.apply(changes);
       onOwnRecord(peers.isOwnRecordListed);
     },
-  });
-  return [
-    makeFeed(parts, ports.configurations, promptTiming, sinkFor(configuration)),
-    makeFeed(parts, ports.evacuations, promptTiming, sinkFor(evacuations)),
-    makeFeed(parts, ports.targets, targetTiming, targetSink),
-    makeFeed(parts, ports.gateways, gatewayTiming, gatewaySink),
-  ];
+  };
+  const feeds: ObjectFeed<unknown>[] = [];
+  const context: FeedContext = {
+    parts,
+    onOutageEnded: (outageMs, callStartedAtMs) => {
+      targets.onStoreConnected(outageMs);
+      for (const feed of feeds) feed.resync(callStartedAtMs);
+    },
+  };
+  feeds.push(
+    makeFeed(context, ports.configurations, 'prompt', configuration),
+    makeFeed(context, ports.evacuations, 'prompt', evacuations),
+    makeFeed(context, ports.targets, 'batched', targets),
+    makeFeed(context, ports.gateways, 'relaxed', gatewayView),
+  );
+  return feeds;
+}
+
+/** What the feeds of a gateway share. */
+interface FeedContext {
+  readonly parts: GatewayParts;
+  /**
+   * Called when the store has answered again after an outage that one feed has noticed.
+   * @param callStartedAtMs Start of the call that was answered.
+   */
+  readonly onOutageEnded: (outageMs: number, callStartedAtMs: number) => void;
 }
 
 /** Makes a feed that also logs when the store becomes unavailable and available. */
 function makeFeed<Content>(
-  {log, time}: GatewayParts,
+  {parts, onOutageEnded}: FeedContext,
   source: ObjectSource<Content>,
-  timing: FeedTiming,
-  sink: Omit<FeedSink<Content>, 'onDisconnected'>,
+  urgency: FeedUrgency,
+  view: ObjectView<Content>,
 ): ObjectFeed<unknown> {
-  const loggingSink: FeedSink<Content> = {
-    ...sink,
-    onConnected: outageMs => {
-      sink.onConnected(outageMs);
-      log.event('store', {kind: source.kind, connected: true, outageMs: Math.round(outageMs)});
+  const {log, settings, time} = parts;
+  const {kind} = source;
+  const sink: FeedSink<Content> = {
+    replace: list => view.replace(list),
+    apply: changes => view.apply(changes),
+    onConnected: (outageMs, callStartedAtMs) => {
+      log.event('store', {kind, connected: true, outageMs: Math.round(outageMs)});
+      if (outageMs > 0) onOutageEnded(outageMs, callStartedAtMs);
     },
     onDisconnected: ({message: reason}, {callMs, answerAgeMs}) =>
       log.event('store', {
-        kind: source.kind,
+        kind,
         connected: false,
         reason,
         callMs: Math.round(callMs),
         answerAgeMs: answerAgeMs === undefined ? undefined : Math.round(answerAgeMs),
       }),
   };
-  return new ObjectFeed(source, timing, loggingSink, time) as ObjectFeed<unknown>;
-}
-
-function sinkFor<Content>(view: ObjectView<Content>): Omit<FeedSink<Content>, 'onDisconnected'> {
-  return {
-    replace: list => view.replace(list),
-    apply: changes => view.apply(changes),
-    onConnected: () => undefined,
-  };
+  const timing = () => feedTiming(urgency, settings.value.bounds.resyncMs);
+  return new ObjectFeed(source, timing, sink, time) as ObjectFeed<unknown>;
 }
--- a/packages/gateway/src/gateway_settings.ts
+++ b/packages/gateway/src/gateway_settings.ts
@@ -78,6 +78,7 @@
   const bound = (field: string) => reader.nonNegativeNumber('bounds', field);
   return {
     stopGraceMs: bound('stopGraceS') * 1000,
+    resyncMs: bound('resyncMs'),
     retryRatio: bound('retryRatio'),
     retryWindowMs: bound('retryWindowS') * 1000,
     retrySlack: bound('retrySlackRequests'),
--- a/packages/gateway/src/gateway_types.ts
+++ b/packages/gateway/src/gateway_types.ts
@@ -87,6 +87,8 @@
 export interface GatewayBounds {
   /** Time between SIGTERM and the forced end of the process, in milliseconds. */
   readonly stopGraceMs: number;
+  /** Time after a disruption within which the gateway must be up to date again, in milliseconds. */
+  readonly resyncMs: number;
   /** Retries per request of a service, over all gateways. */
   readonly retryRatio: number;
   /** Window in which the retry limit holds, in milliseconds. */
--- a/packages/gateway/src/object_feed.ts
+++ b/packages/gateway/src/object_feed.ts
@@ -1,20 +1,13 @@
 /**
  * Follows the objects of one kind in the store: lists them once, then long-polls for changes. When the store has
  * dropped the history after the last revision, the feed lists again; after any other failure it retries from the same
- * revision.
+ * revision, and does not wait for changes until the store has answered.
  */
 import type {TimeSource} from '@cuminsill/utils';
 import {Effect} from 'effect';
+import type {FeedTiming} from './feed_timing';
 import type {ObjectChanges, ObjectList, ObjectSource, SourceError} from './object_source';
 
-/** Timing of the calls of a feed. */
-export interface FeedTiming {
-  /** Maximum wait of one call for changes. Bounds how long a dead connection stays undetected. */
-  readonly maxWaitMs: number;
-  /** Minimum time between two calls, so that one call fetches several frequent changes. */
-  readonly minIntervalMs: number;
-}
-
 /** Receives the lists, changes and connection states of a feed. */
 export interface FeedSink<Content> {
   /** Receives the complete list, at the start and after a gap in the history. */
@@ -24,8 +17,9 @@
   /**
    * Called when the store answers for the first time, or again after an outage.
    * @param outageMs Time since the start of the first failed call; 0 for the first answer.
+   * @param callStartedAtMs Start of the call that was answered, on the monotonic clock.
    */
-  onConnected(outageMs: number): void;
+  onConnected(outageMs: number, callStartedAtMs: number): void;
   /** Called when the store becomes unavailable. */
   onDisconnected(error: SourceError, failedCall: FailedCall): void;
 }
@@ -59,10 +53,14 @@
   private answeredAtMs: number | undefined;
   private callStartedAtMs = 0;
   private firstFailedCallAtMs: number | undefined;
+  /** Ends the call that is under way; undefined between calls. */
+  private endCall: (() => void) | undefined;
+  private skipsWait = false;
 
+  /** @param timing Returns the timing of the calls, which a reload may change. */
   constructor(
     private readonly source: ObjectSource<Content>,
-    private readonly timing: FeedTiming,
+    private readonly timing: () => FeedTiming,
     private readonly sink: FeedSink<Content>,
     private readonly time: TimeSource,
     private readonly random: () => number = Math.random,
@@ -83,22 +81,48 @@
     return answeredAtMs === undefined ? undefined : this.time.monotonicMs() - answeredAtMs;
   }
 
+  /**
+   * Makes the call that is under way again, without a wait, if it started before the given time. Called when another feed has
+   * shown that calls from before that time may never be answered.
+   */
+  resync(startedBeforeMs: number): void {
+    if (this.callStartedAtMs < startedBeforeMs) this.endCall?.();
+  }
+
   /** Makes one call to the store, delivers its result, and waits before the next call. */
   pollOnce(): Effect.Effect<void> {
     const call = Effect.suspend(() => {
       this.callStartedAtMs = this.time.monotonicMs();
       return this.revision === undefined ? this.list() : this.pollChanges();
     });
-    return call.pipe(
+    const answered = Effect.as(call, 'answered' as const);
+    return Effect.raceFirst(answered, this.callEnded()).pipe(
       Effect.matchEffect({
         onFailure: error => this.onFailure(error),
-        onSuccess: () => Effect.sleep(this.timing.minIntervalMs),
+        onSuccess: result => (result === 'answered' ? this.pauseAfterAnswer() : Effect.void),
       }),
     );
   }
 
+  /** Completes when the call under way is to be made again. */
+  private callEnded(): Effect.Effect<'ended'> {
+    return Effect.async<'ended'>(resume => {
+      this.endCall = () => {
+        this.skipsWait = true;
+        resume(Effect.succeed('ended'));
+      };
+      return Effect.sync(() => {
+        this.endCall = undefined;
+      });
+    });
+  }
+
+  private pauseAfterAnswer(): Effect.Effect<void> {
+    return Effect.suspend(() => Effect.sleep(this.timing().minIntervalMs));
+  }
+
   private list(): Effect.Effect<void, SourceError> {
-    return Effect.map(this.source.list(), list => {
+    return Effect.map(this.source.list(this.timing().listTimeoutMs), list => {
       this.onAnswer();
       this.revision = list.revision;
       this.sink.replace(list);
@@ -107,7 +131,12 @@
 
   private pollChanges(): Effect.Effect<void, SourceError> {
     const revision = this.revision ?? 0;
-    return Effect.map(this.source.changesAfter(revision, this.timing.maxWaitMs), changes => {
+    const {maxWaitMs, answerTimeoutMs} = this.timing();
+    // An answer at once shows that the store is back; a wait would keep that open until its end.
+    const waitMs = this.skipsWait || this.consecutiveFailures > 0 ? 0 : maxWaitMs;
+    this.skipsWait = false;
+    const timeoutMs = waitMs + answerTimeoutMs;
+    return Effect.map(this.source.changesAfter(revision, waitMs, timeoutMs), changes => {
       this.onAnswer();
       this.revision = Math.max(revision, changes.revision);
       if (changes.changes.length > 0) this.sink.apply(changes);
@@ -119,7 +148,8 @@
     this.consecutiveFailures = 0;
     if (this.connected) return;
     this.connected = true;
-    this.sink.onConnected(this.answeredAtMs - (this.firstFailedCallAtMs ?? this.answeredAtMs));
+    const outageMs = this.answeredAtMs - (this.firstFailedCallAtMs ?? this.answeredAtMs);
+    this.sink.onConnected(outageMs, this.callStartedAtMs);
     this.firstFailedCallAtMs = undefined;
   }
 
@@ -136,7 +166,8 @@
     }
     this.consecutiveFailures += 1;
     const backoffMs = Math.min(maxBackoffMs, firstBackoffMs * 2 ** (this.consecutiveFailures - 1));
-    // Jitter spreads the calls of the gateways after an outage.
-    return Effect.sleep(backoffMs * (0.5 + this.random() / 2));
+    // Jitter spreads the calls of the gateways after an outage. A call that has timed out has waited already.
+    const elapsedMs = this.time.monotonicMs() - this.callStartedAtMs;
+    return Effect.sleep(Math.max(0, backoffMs * (0.5 + this.random() / 2) - elapsedMs));
   }
 }
--- a/packages/gateway/src/object_source.ts
+++ b/packages/gateway/src/object_source.ts
@@ -47,10 +47,15 @@
 /** Access to the stored objects of one kind. */
 export interface ObjectSource<Content> {
   readonly kind: string;
-  list(): Effect.Effect<ObjectList<Content>, SourceError>;
-  /** Waits up to `waitMs` for changes after the revision (long polling). */
+  /** @param timeoutMs Time after which a call for one page is given up. */
+  list(timeoutMs: number): Effect.Effect<ObjectList<Content>, SourceError>;
+  /**
+   * Waits up to `waitMs` for changes after the revision (long polling).
+   * @param timeoutMs Time after which the call is given up; includes the wait.
+   */
   changesAfter(
     revision: number,
     waitMs: number,
+    timeoutMs: number,
   ): Effect.Effect<ObjectChanges<Content>, SourceError>;
 }
