--- a/packages/standins/src/users_platform/object_store_server.ts
+++ b/packages/standins/src/users_platform/object_store_server.ts
@@ -4,7 +4,7 @@
  */
 import * as http from 'node:http';
 import type {AddressInfo, Socket} from 'node:net';
-import type {ObjectEvent} from './object_table';
+import type {ObjectEvent, TableCopy} from './object_table';
 import {ObjectTable} from './object_table';
 
 /**
@@ -56,6 +56,7 @@
   fault: ObjectStoreFault = noObjectStoreFault;
   /** Received calls as `METHOD kind`, in order. */
   readonly calls: string[] = [];
+  private era = 1;
   private readonly connections = new Set<Socket>();
   private readonly silentConnections = new WeakSet<Socket>();
   private readonly server = http.createServer((request, response) => {
@@ -89,6 +90,13 @@
     for (const connection of this.connections) this.silentConnections.add(connection);
   }
 
+  /** Comes back from an older copy, in a new era. Open connections are closed. */
+  restore(copy: TableCopy): void {
+    this.table.restore(copy);
+    this.era += 1;
+    this.cutConnections();
+  }
+
   /** Closes all open connections, as at the start of an outage. */
   cutConnections(): void {
     this.server.closeAllConnections();
@@ -117,7 +125,9 @@
   /** Answers, unless the connection has fallen silent. Returns true, because nothing is left to be done for the call. */
   private answer(response: http.ServerResponse, reply: Reply): true {
     const {socket} = response;
-    if (socket === null || !this.silentConnections.has(socket)) send(response, reply);
+    if (socket !== null && this.silentConnections.has(socket)) return true;
+    response.setHeader('Store-Era', String(this.era));
+    send(response, reply);
     return true;
   }
 
--- a/packages/standins/src/users_platform/object_table.ts
+++ b/packages/standins/src/users_platform/object_table.ts
@@ -34,9 +34,17 @@
   readonly finalizers?: readonly string[];
 }
 
+/** The table at one moment, from which it can be restored. */
+export interface TableCopy {
+  readonly kinds: ReadonlyMap<string, ReadonlyMap<string, StoredObject>>;
+  readonly events: readonly ObjectEvent[];
+  readonly firstKeptRevision: number;
+  readonly revision: number;
+}
+
 /** In-memory table of all objects. */
 export class ObjectTable {
-  private readonly kinds = new Map<string, Map<string, StoredObject>>();
+  private kinds = new Map<string, Map<string, StoredObject>>();
   private events: ObjectEvent[] = [];
   private firstKeptRevision = 1;
   private currentRevision = 1;
@@ -92,9 +100,23 @@
     return {status: 200, object: existing};
   }
 
-  /** Changes of a kind after a revision; undefined when the history no longer reaches back that far. */
+  copy(): TableCopy {
+    const {events, firstKeptRevision, currentRevision: revision} = this;
+    const kinds = new Map([...this.kinds].map(([kind, objects]) => [kind, new Map(objects)]));
+    return {kinds, events: [...events], firstKeptRevision, revision};
+  }
+
+  /** Goes back to a copy: later writes are gone, and their revisions are given out again. */
+  restore({kinds, events, firstKeptRevision, revision}: TableCopy): void {
+    this.kinds = new Map([...kinds].map(([kind, objects]) => [kind, new Map(objects)]));
+    this.events = [...events];
+    this.firstKeptRevision = firstKeptRevision;
+    this.currentRevision = revision;
+  }
+
+  /** Changes of a kind after a revision; undefined when the history does not have that revision. */
   changesAfter(kind: string, revision: number): readonly ObjectEvent[] | undefined {
-    if (revision + 1 < this.firstKeptRevision) return undefined;
+    if (revision + 1 < this.firstKeptRevision || revision > this.currentRevision) return undefined;
     return this.events.filter(event => event.kind === kind && event.revision > revision);
   }
 
