List again when the store has come back from an older copy

A change was never read after a restore, until the next one: the restored store gives revisions out again, the feed kept the greater revision (Math.max over two eras) and watched from there. An answer without the header is no change.

--- a/packages/gateway/__tests__/object_feed.test.ts
+++ b/packages/gateway/__tests__/object_feed.test.ts
@@ -127,3 +127,23 @@
   await Effect.runPromise(Fiber.interrupt(fiber));
   expect(waits).toEqual([maxWaitMs, 0, maxWaitMs]);
 });
+
+/** Guards against lists that are read again and again because answers do not all state the era. */
+test.each([
+  ['another era', [1, 2], 2],
+  ['the same era', [1, 1], 1],
+  ['no era', [1, undefined], 1],
+  ['an era for the first time', [undefined, 1], 1],
+])('an answer with %s', async (_name, [listedEra, era], listCount) => {
+  let lists = 0;
+  const source: ObjectSource<string> = {
+    kind: 'things',
+    list: () =>
+      Effect.sync(() => ({objects: [], revision: 5, era: lists++ === 0 ? listedEra : era})),
+    changesAfter: () => Effect.succeed({changes: [], revision: 5, era}),
+  };
+  const timing = {maxWaitMs, answerTimeoutMs: 1, listTimeoutMs: 1, minIntervalMs: 0};
+  const feed = new ObjectFeed(source, () => timing, recordingSink().sink, new ManualTime());
+  for (let call = 0; call < 5; call += 1) await Effect.runPromise(feed.pollOnce());
+  expect(lists).toBe(listCount);
+});
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -83,6 +83,7 @@
     ports.observeCalls((kind, result) => metrics.storeCallEnded(kind, result));
     ports.observeEras((formerEra, era) => {
       this.parts.log.event('store', {event: 'came back from an older copy', formerEra, era});
+      this.resyncFeeds();
     });
     this.callerServer = new CallerServer(this.parts);
     this.targetProber = new TargetProber(this.parts);
@@ -217,6 +218,11 @@
     }
   }
 
+  private resyncFeeds(): void {
+    const nowMs = this.time.monotonicMs();
+    for (const feed of this.feeds) feed.resync(nowMs);
+  }
+
   private feedStates(): readonly FeedState[] {
     return this.feeds.map(feed => feed.state());
   }
--- a/packages/gateway/src/object_feed.ts
+++ b/packages/gateway/src/object_feed.ts
@@ -1,12 +1,13 @@
 /**
- * Follows the objects of one kind in the store: lists them once, then long-polls for changes. When the store has
- * dropped the history after the last revision, the feed lists again; after any other failure it retries from the same
- * revision, and does not wait for changes until the store has answered.
+ * Follows the objects of one kind in the store: lists them once, then long-polls for changes. The feed lists again when the
+ * store has dropped the history after the last revision or has come back from an older copy. After any other failure it
+ * retries from the same revision, and does not wait for changes until the store has answered.
  */
 import type {TimeSource} from '@cuminsill/utils';
 import {Effect} from 'effect';
 import type {FeedTiming} from './feed_timing';
-import type {ObjectChanges, ObjectList, ObjectSource, SourceError} from './object_source';
+import type {ObjectChanges, ObjectList, ObjectSource, SourceError, StoreEra} from './object_source';
+import {areDifferentEras} from './object_source';
 
 /** Receives the lists, changes and connection states of a feed. */
 export interface FeedSink<Content> {
@@ -48,6 +49,7 @@
 /** Feed of the objects of one kind. */
 export class ObjectFeed<Content> {
   private revision: number | undefined;
+  private era: StoreEra;
   private connected = false;
   private consecutiveFailures = 0;
   private answeredAtMs: number | undefined;
@@ -125,6 +127,7 @@
     return Effect.map(this.source.list(this.timing().listTimeoutMs), list => {
       this.onAnswer();
       this.revision = list.revision;
+      this.era = list.era;
       this.sink.replace(list);
     });
   }
@@ -138,6 +141,12 @@
     const timeoutMs = waitMs + answerTimeoutMs;
     return Effect.map(this.source.changesAfter(revision, waitMs, timeoutMs), changes => {
       this.onAnswer();
+      if (areDifferentEras(changes.era, this.era)) {
+        // The restored store may have changes under revisions up to the last one, which this answer leaves out.
+        this.revision = undefined;
+        return;
+      }
+      this.era ??= changes.era;
       this.revision = Math.max(revision, changes.revision);
       if (changes.changes.length > 0) this.sink.apply(changes);
     });
--- a/packages/gateway/src/object_source.ts
+++ b/packages/gateway/src/object_source.ts
@@ -11,10 +11,22 @@
   readonly content: Content | undefined;
 }
 
+/**
+ * Number that rises each time the store comes back from an older copy. Revisions of different eras cannot be compared.
+ * Undefined when the store does not state it.
+ */
+export type StoreEra = number | undefined;
+
+/** True if two answers are known to come from different eras. */
+export function areDifferentEras(first: StoreEra, second: StoreEra): boolean {
+  return first !== undefined && second !== undefined && first !== second;
+}
+
 /** All objects of a kind at a revision. */
 export interface ObjectList<Content> {
   readonly objects: readonly SourceObject<Content>[];
   readonly revision: number;
+  readonly era?: StoreEra;
 }
 
 /** One change of an object. */
@@ -27,6 +39,7 @@
 export interface ObjectChanges<Content> {
   readonly changes: readonly ObjectChange<Content>[];
   readonly revision: number;
+  readonly era?: StoreEra;
 }
 
 /** Why a call to the store failed. */
