--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -5,6 +5,7 @@
  * ask callers to close their connections. Later it refuses new requests, so that callers use another gateway. The
  * process exits when the last request is answered, and at the latest shortly before it would be killed.
  */
+import * as net from 'node:net';
 import {PoisonGuard} from '@cuminsill/steering';
 import type {TimeSource} from '@cuminsill/utils';
 import {systemTime} from '@cuminsill/utils';
@@ -15,6 +16,7 @@
 import {ConfigurationView} from './configuration_view';
 import type {LogOutput} from './decision_log';
 import {DecisionLog} from './decision_log';
+import type {Dial} from './dial';
 import {EvacuationView} from './evacuation_view';
 import {makeFeeds} from './gateway_feeds';
 import {GatewayMetrics} from './gateway_metrics';
@@ -74,6 +76,7 @@
     private readonly ports: GatewayPorts,
     private readonly logOutput: LogOutput = new BoundedLogStream(),
     private readonly time: TimeSource = systemTime,
+    private readonly dial: Dial = net.connect,
   ) {
     this.startedAtMs = time.nowMs();
     this.settings = new CurrentSettings(settings);
@@ -201,7 +204,8 @@
         time,
         () => peers.fleetSize(settings.value.bounds.retryWindowMs),
       ),
-      connections: new TargetConnections(),
+      dial: this.dial,
+      connections: new TargetConnections(this.dial),
       connectionHistory,
       poison,
       pendingLosses,
--- a/packages/gateway/src/gateway_parts.ts
+++ b/packages/gateway/src/gateway_parts.ts
@@ -3,6 +3,7 @@
 import type {ConnectionHistory} from './connection_history';
 import type {ConfigurationView} from './configuration_view';
 import type {DecisionLog} from './decision_log';
+import type {Dial} from './dial';
 import type {EvacuationView} from './evacuation_view';
 import type {GatewayMetrics} from './gateway_metrics';
 import type {CurrentSettings} from './gateway_settings';
@@ -30,6 +31,7 @@
   readonly serviceTimes: ServiceTimeEstimators;
   readonly roundTripTimes: RoundTripTimes;
   readonly retryBudget: RetryBudget;
+  readonly dial: Dial;
   readonly connections: TargetConnections;
   readonly connectionHistory: ConnectionHistory;
   readonly poison: PoisonTracker;
--- a/packages/gateway/src/target_connections.ts
+++ b/packages/gateway/src/target_connections.ts
@@ -3,9 +3,11 @@
  * no request.
  */
 import * as http from 'node:http';
+import type * as net from 'node:net';
 import type {Socket} from 'node:net';
 import type {Duplex} from 'node:stream';
 import type {SocketAddress} from '@cuminsill/types';
+import type {Dial} from './dial';
 
 /** Shorter than the targets' own idle timeouts, so that no request is sent on a connection that is being closed. */
 export const maxIdleMs = 4_000;
@@ -33,10 +35,15 @@
   private readonly idleStates = new WeakMap<Duplex, IdleState>();
   private readonly socketsWithTimeoutListener = new WeakSet<Duplex>();
 
-  constructor() {
+  /** @param dial Opens connections. */
+  constructor(private readonly dial: Dial) {
     super({keepAlive: true, maxFreeSockets: maxFreePerTarget, scheduling: 'lifo'});
   }
 
+  override createConnection(options: net.NetConnectOpts): Socket {
+    return this.dial(options as net.TcpNetConnectOpts);
+  }
+
   override getName(options?: AgentNameOptions): string {
     const targetId = (options as TargetRequestOptions | undefined)?.targetId ?? '';
     return agentNameOf(targetId, {host: options?.host ?? '', port: Number(options?.port ?? 0)});
--- a/packages/gateway/src/target_prober.ts
+++ b/packages/gateway/src/target_prober.ts
@@ -3,7 +3,6 @@
  * target almost nothing, whereas a health check takes a slot. The first connection to each failure domain also
  * measures its round-trip time before requests depend on it.
  */
-import * as net from 'node:net';
 import type {GatewayParts} from './gateway_parts';
 import type {Target} from './target';
 
@@ -51,7 +50,7 @@
     if (roundTripTimes.isMeasured(failureDomain)) return;
     if (measuredAtMs !== undefined && nowMs - measuredAtMs < measurementRetryMs) return;
     this.measurementStartedAtMs.set(failureDomain, nowMs);
-    const socket = net.connect(address);
+    const socket = this.parts.dial({host: address.host, port: address.port});
     socket.once('error', () => socket.destroy());
     socket.once('connect', () => {
       socket.destroy();
@@ -62,7 +61,7 @@
   private probe(target: Target): void {
     const {host, port} = target.address;
     const startedAtMs = this.parts.time.monotonicMs();
-    const socket = net.connect({host, port});
+    const socket = this.parts.dial({host, port});
     const timeoutMs = probeMarginMs + this.parts.roundTripTimes.expectedMs(target.failureDomain);
     const timer = setTimeout(() => fail('connect timeout'), timeoutMs);
     const fail = (detail: string) => {
