--- a/packages/standins/src/users_platform/endpoint_server.ts
+++ b/packages/standins/src/users_platform/endpoint_server.ts
@@ -24,7 +24,11 @@
   /** Runs the request and sends its answer twice on the connection. */
   | 'extra'
   /** Rejects the request before its body has arrived and keeps the connection open. */
-  | 'early';
+  | 'early'
+  /** Runs the request and sends a head without end, until the caller closes the connection. */
+  | 'endless-head'
+  /** Runs the request and sends a body without end, until the caller closes the connection. */
+  | 'endless-body';
 
 /** Options of an endpoint. */
 export interface EndpointOptions {
@@ -95,6 +99,8 @@
     'unframed-cut': answer => answer.sendUnframedCutAnswer(),
     extra: answer => answer.sendAnswerTwice(),
     early: answer => answer.reject(503),
+    'endless-head': answer => answer.sendEndless('HTTP/1.1 200 OK\r\n', 'Filler: x\r\n'),
+    'endless-body': answer => answer.sendEndless(answer.rawResponseHead('Connection: close'), 'x'),
   };
 
   constructor(readonly options: EndpointOptions) {
@@ -211,6 +217,7 @@
 
 /** Length after which a cut body ends. */
 const cutAfterBytes = 8;
+const piecesPerWrite = 4_096;
 const defaultBody = 'the answer of the endpoint';
 
 function requestIdOf(request: http.IncomingMessage): string {
@@ -269,6 +276,17 @@
     this.socket.end(`${this.rawResponseHead('Connection: close')}${start}`);
   }
 
+  /** Sends the start, and then the piece again and again. */
+  sendEndless(start: string, piece: string): void {
+    const pieces = Buffer.from(piece.repeat(piecesPerWrite));
+    this.socket.write(start);
+    const writeOn = () => {
+      while (!this.socket.destroyed && this.socket.write(pieces));
+    };
+    this.socket.on('drain', writeOn);
+    writeOn();
+  }
+
   sendAnswerTwice(): void {
     this.notifyAnswered(200);
     const body = this.body();
@@ -285,7 +303,7 @@
     return this.endpoint.options.bodyOf?.(this.requestId()) ?? defaultBody;
   }
 
-  private rawResponseHead(framing: string): string {
+  rawResponseHead(framing: string): string {
     const lines = Object.entries(this.headers()).map(([name, value]) => `${name}: ${value}`);
     return ['HTTP/1.1 200 OK', ...lines, framing, '', ''].join('\r\n');
   }
