Probe less while a gateway is isolated, and keep its headers out of targets' answers

While a gateway reaches no target, a check of four targets every 0.5 s replaces the checks of every tick and the probes of each unreachable target, which could tell nothing of them. A relay drops headers of a target's answer that bear the names that gateways use between them: the gateway that asked would take them for the relay's own.

--- a/packages/gateway/src/caller_server.ts
+++ b/packages/gateway/src/caller_server.ts
@@ -11,7 +11,7 @@
 import type {GatewayParts} from './gateway_parts';
 import {endToEndHeaders} from './end_to_end_headers';
 import {RequestQueue} from './request_queue';
-import {relayAnswerHeaders} from './relay_wire';
+import {relayAnswerHeaders, relayHeaderNames} from './relay_wire';
 import type {ServedRequest, ServingContext} from './serve_request';
 import {recordDeparture, serveRequest} from './serve_request';
 import type {TargetAnswer} from './target_exchange';
@@ -214,7 +214,8 @@
   {answer}: Extract<FinalAnswer, {kind: 'relayed'}>,
   isForGateway: boolean,
 ): void {
-  const headers = endToEndHeaders(answer.rawHeaders, noReplacedHeaders);
+  const replaced = isForGateway ? relayHeaderNames : noReplacedHeaders;
+  const headers = endToEndHeaders(answer.rawHeaders, replaced);
   for (const [name, value] of headers) response.appendHeader(name, value);
   response.sendDate = false;
   const mayHaveBody = answer.status !== 204 && answer.status !== 304;
--- a/packages/gateway/src/path_checker.ts
+++ b/packages/gateway/src/path_checker.ts
@@ -13,9 +13,13 @@
 /** A target that accepts no connection within this time beyond the round trip is not reached. */
 const connectMarginMs = 400;
 
+/** Interval of the checks while the gateway is isolated. */
+const isolatedCheckIntervalMs = 500;
+
 /** Checks the ways to targets. */
 export class PathChecker {
   private isChecking = false;
+  private startedAtMs = Number.NEGATIVE_INFINITY;
 
   constructor(private readonly parts: GatewayParts) {
     parts.paths.onChange(state => {
@@ -25,9 +29,12 @@
 
   /** Starts a check when one is due. Called regularly, and when a doubt arises. */
   startDueCheck(): void {
-    const {paths} = this.parts;
+    const {paths, time} = this.parts;
     paths.review();
     if (this.isChecking || paths.state === 'connected') return;
+    const nowMs = time.monotonicMs();
+    if (paths.isIsolated && nowMs - this.startedAtMs < isolatedCheckIntervalMs) return;
+    this.startedAtMs = nowMs;
     const targets = this.chooseTargets();
     if (targets === undefined) paths.recordSignOfLife();
     else void this.check(targets);
--- a/packages/gateway/src/target_prober.ts
+++ b/packages/gateway/src/target_prober.ts
@@ -46,6 +46,8 @@
     const {paths, pendingLosses} = this.parts;
     this.pathChecker.startDueCheck();
     pendingLosses.review(paths.state === 'connected');
+    // Until the checker reaches a target again, probes of all targets would tell nothing of them.
+    if (paths.isIsolated) return;
     const nowMs = this.parts.time.monotonicMs();
     for (const target of this.parts.targets.all()) {
       if (!target.isAssignable) continue;
