--- a/packages/gateway/__tests__/relay_peers.test.ts
+++ b/packages/gateway/__tests__/relay_peers.test.ts
@@ -39,10 +39,10 @@
   });
 
   /** Guards against a relay that gets everything, and against asking one again that has just reached no target. */
-  test('leaves out a relay that is full or was useless', () => {
+  test('leaves out a relay that is full or has failed', () => {
     const {time, peers, namesOf} = setUp();
     for (let count = 0; count < 64; count += 1) peers.recordStart('near-1');
-    peers.recordUseless('near-2', 's');
+    peers.recordFailure('near-2', 's');
     expect(namesOf([])).toEqual(['far']);
     peers.recordEnd('near-1');
     time.advance(500);
--- a/packages/gateway/__tests__/target_paths.test.ts
+++ b/packages/gateway/__tests__/target_paths.test.ts
@@ -8,7 +8,7 @@
   (id: string): Step =>
   paths =>
     paths.recordFailure(id);
-const live: Step = paths => paths.recordSignOfLife();
+const live: Step = paths => paths.recordSuccess();
 const failCheck: Step = paths => paths.recordFailedCheck();
 const sendThree: Step = paths => {
   for (let count = 0; count < 3; count += 1) paths.recordSend();
@@ -29,7 +29,7 @@
     ['a check that reaches a target', [fail('a'), fail('b'), live], 'connected'],
     ['a check that reaches none', [fail('a'), fail('b'), failCheck], 'isolated'],
     ['a check that ends late', [fail('a'), fail('b'), live, failCheck], 'connected'],
-    ['a sign of life while isolated', [fail('a'), fail('b'), failCheck, live], 'connected'],
+    ['a success while isolated', [fail('a'), fail('b'), failCheck, live], 'connected'],
   ];
   test.each(cases)('%s', (_name, steps, state) => {
     const time = new ManualTime();
--- a/packages/gateway/src/dial.ts
+++ b/packages/gateway/src/dial.ts
@@ -1,4 +1,4 @@
-/** Opens connections to targets. Tests replace it to disturb the ways of one gateway. */
+/** Opens connections to targets. Tests replace it to disturb the connectivity of one gateway. */
 import type {Socket, TcpNetConnectOpts} from 'node:net';
 
 /** Starts to connect, as `net.connect` does. */
--- a/packages/gateway/src/forwarding.ts
+++ b/packages/gateway/src/forwarding.ts
@@ -62,12 +62,12 @@
   /** The target, or the gateway that relayed the request. */
   readonly targetId: string;
   /** True for the answer of a relay, which has judged the target's answer already. */
-  readonly isRelayed?: boolean;
+  readonly isFromRelay?: boolean;
 };
 
 /** A relay's own refusals are true for this gateway's caller too. */
-function finalAnswerOf({answer, targetId, isRelayed}: UsableAnswer): FinalAnswer {
-  if (isRelayed === true) return {kind: 'relayed', answer, targetId};
+function finalAnswerOf({answer, targetId, isFromRelay}: UsableAnswer): FinalAnswer {
+  if (isFromRelay === true) return {kind: 'relayed', answer, targetId};
   return relayedOrOutcomeUnknown({answer, targetId});
 }
 
@@ -148,7 +148,7 @@
         .pipe(
           Effect.flatMap(end =>
             end.kind === 'answered'
-              ? Effect.succeed({...end, targetId: relay.name, isRelayed: true})
+              ? Effect.succeed({...end, targetId: relay.name, isFromRelay: true})
               : Effect.fail(attemptFailed),
           ),
         );
@@ -367,7 +367,7 @@
         connectTimeoutMs: parts.roundTripTimes.expectedMs(target.failureDomain) + connectMarginMs,
         isAtMostOnce: forwarded.route.repeat === 'at-most-once',
         onConnected: (socket, connectMs) => {
-          parts.paths.recordSignOfLife();
+          parts.paths.recordSuccess();
           parts.roundTripTimes.observe(target.failureDomain, connectMs);
           parts.connectionHistory.onOpened(target.id, socket);
         },
--- a/packages/gateway/src/hedge_delay.ts
+++ b/packages/gateway/src/hedge_delay.ts
@@ -4,7 +4,7 @@
 import type {TargetPaths} from './target_paths';
 
 /**
- * Returns whether the fiber ends before the timeout and before the gateway loses its way to the targets. Uses one timer and no
+ * Returns whether the fiber ends before the timeout and before the gateway loses connectivity to the targets. Uses one timer and no
  * further fibers, because every idempotent request waits here.
  */
 export function endsWithin(
--- a/packages/gateway/src/lookup_answers.ts
+++ b/packages/gateway/src/lookup_answers.ts
@@ -1,6 +1,6 @@
 /**
  * Answers look-ups with the serving gateways of the caller's region, so that requests cross regions only between
- * gateway and target. Gateways that have lost their way to the targets are named only when the region has no others; when it
+ * gateway and target. Gateways that have lost connectivity to the targets are named only when the region has no others; when it
  * has no gateway at all, the answer names those of all regions.
  */
 import type {GatewayRecord} from './gateway_types';
--- a/packages/gateway/src/path_checker.ts
+++ b/packages/gateway/src/path_checker.ts
@@ -16,7 +16,7 @@
 /** Interval of the checks while the gateway is isolated. */
 const isolatedCheckIntervalMs = 500;
 
-/** Checks the ways to targets. */
+/** Checks connectivity to targets. */
 export class PathChecker {
   private isChecking = false;
   private startedAtMs = Number.NEGATIVE_INFINITY;
@@ -36,7 +36,7 @@
     if (paths.isIsolated && nowMs - this.startedAtMs < isolatedCheckIntervalMs) return;
     this.startedAtMs = nowMs;
     const targets = this.chooseTargets();
-    if (targets === undefined) paths.recordSignOfLife();
+    if (targets === undefined) paths.recordSuccess();
     else void this.check(targets);
   }
 
@@ -80,7 +80,7 @@
       socket.once('error', () => end(false));
       socket.once('connect', () => {
         // At once, and not when all connections are settled, because some may hang.
-        paths.recordSignOfLife();
+        paths.recordSuccess();
         end(true);
       });
     });
--- a/packages/gateway/src/pending_losses.ts
+++ b/packages/gateway/src/pending_losses.ts
@@ -104,12 +104,12 @@
 
   /**
    * Confirms the losses at targets whose connections closed together; discards those that nothing confirmed in time.
-   * @param hasWayToTargets False while this gateway may have lost its ways to the targets: then all connections close together.
+   * @param isConnected False while this gateway may have lost connectivity to the targets: then all connections close together.
    */
-  review(hasWayToTargets = true): void {
+  review(isConnected = true): void {
     if (this.pending.length === 0) return;
     const nowMs = this.time.monotonicMs();
-    if (hasWayToTargets) this.confirmClosedTogether(nowMs);
+    if (isConnected) this.confirmClosedTogether(nowMs);
     this.discard(({lostAtMs}) => nowMs - lostAtMs >= processEndNoticeMs);
   }
 
--- a/packages/gateway/src/record_exchange_end.ts
+++ b/packages/gateway/src/record_exchange_end.ts
@@ -82,7 +82,7 @@
   const {parts, forwarded, placement} = context;
   const {target} = placement;
   const nowMs = parts.time.monotonicMs();
-  parts.paths.recordSignOfLife();
+  parts.paths.recordSuccess();
   recordReports(end.answer, placement, nowMs);
   recordDirectives(context, end);
   parts.poison.recordAnswered(forwarded.fingerprint, target.id, end.answer.status);
@@ -111,7 +111,7 @@
   const {parts, placement} = context;
   const {target} = placement;
   const nowMs = parts.time.monotonicMs();
-  parts.paths.recordSignOfLife();
+  parts.paths.recordSuccess();
   recordReports(end.answer, placement, nowMs);
   if (!end.answer.head.wrongTarget) {
     recordDirectives(context, end);
--- a/packages/gateway/src/relay_exchange.ts
+++ b/packages/gateway/src/relay_exchange.ts
@@ -47,18 +47,18 @@
       onConnected: () => undefined,
     });
   }).pipe(
-    Effect.tap(end => Effect.sync(() => recordUselessness(parts, end, relay.name, service))),
+    Effect.tap(end => Effect.sync(() => recordFailedRelay(parts, end, relay.name, service))),
     Effect.ensuring(Effect.sync(() => relays.recordEnd(relay.name))),
   );
 }
 
-function recordUselessness(
+function recordFailedRelay(
   {relays}: GatewayParts,
   end: ExchangeEnd,
   name: string,
   service: string,
 ): void {
-  if (end.kind !== 'answered') relays.recordUseless(name, service);
+  if (end.kind !== 'answered') relays.recordFailure(name, service);
 }
 
 /** An answer of the relay itself is the caller's answer too, unless another relay may do better. */
--- a/packages/gateway/src/relay_peers.ts
+++ b/packages/gateway/src/relay_peers.ts
@@ -1,7 +1,7 @@
 /**
  * Chooses the gateways that relay requests while this one does not reach the targets itself.
  *
- * The pattern: a part of a region's gateways, or all of a failure domain's, lose their way to the targets at once, and their
+ * The pattern: a part of a region's gateways, or all of a failure domain's, lose connectivity to the targets at once, and their
  * callers' requests go to the gateways that are left. They are spread over the region, because callers there are few hops away,
  * and each relay has a bound on what it takes from one gateway.
  */
@@ -13,7 +13,7 @@
 /** Requests of one gateway that another one relays at the same time. */
 const maxInFlightPerRelay = 64;
 /** Time for which a relay that reached no target of a service is not asked for that service again. */
-const uselessForMs = 500;
+const avoidedForMs = 500;
 
 /** What limits the choice. */
 export interface RelayChoice {
@@ -27,7 +27,7 @@
 /** The relays of one gateway. */
 export class RelayPeers {
   private readonly inFlight = new Map<string, number>();
-  private readonly uselessUntilMs = new Map<string, number>();
+  private readonly avoidedUntilMs = new Map<string, number>();
 
   /** @param peers Returns the other gateways that serve callers and reach targets, as far as this one knows. */
   constructor(
@@ -45,7 +45,7 @@
         !triedNames.has(name) &&
         (homeRegions.length === 0 || homeRegions.includes(region)) &&
         (this.inFlight.get(name) ?? 0) < maxInFlightPerRelay &&
-        (this.uselessUntilMs.get(keyOf(name, service)) ?? 0) <= nowMs,
+        (this.avoidedUntilMs.get(keyOf(name, service)) ?? 0) <= nowMs,
     );
     const near = usable.filter(({region}) => region === this.ownRegion);
     return sample(near.length > 0 ? near : usable, 1, this.random)[0];
@@ -62,12 +62,12 @@
   }
 
   /** Records that a relay could not be reached, or reached no target of the service. */
-  recordUseless(name: string, service: string): void {
+  recordFailure(name: string, service: string): void {
     const nowMs = this.time.monotonicMs();
-    for (const [key, untilMs] of this.uselessUntilMs) {
-      if (untilMs <= nowMs) this.uselessUntilMs.delete(key);
+    for (const [key, untilMs] of this.avoidedUntilMs) {
+      if (untilMs <= nowMs) this.avoidedUntilMs.delete(key);
     }
-    this.uselessUntilMs.set(keyOf(name, service), nowMs + uselessForMs);
+    this.avoidedUntilMs.set(keyOf(name, service), nowMs + avoidedForMs);
   }
 }
 
--- a/packages/gateway/src/relay_wire.ts
+++ b/packages/gateway/src/relay_wire.ts
@@ -1,5 +1,5 @@
 /**
- * Format of relayed requests between gateways. A gateway that has lost its way to the targets sends a caller's request to
+ * Format of relayed requests between gateways. A gateway that has lost connectivity to the targets sends a caller's request to
  * another one, which handles it like its own but never relays it again. Headers and body are the caller's.
  */
 import type {FinalAnswer} from './final_answer';
--- a/packages/gateway/src/target_exchange.ts
+++ b/packages/gateway/src/target_exchange.ts
@@ -1,6 +1,6 @@
 /**
- * Sends one request to one target, or to another gateway that relays it, and reads the complete answer. The result distinguishes requests that were
- * certainly not run from those that may have run.
+ * Sends one request to one target, or to another gateway that relays it, and reads the complete answer. The result
+ * distinguishes requests that were certainly not run from those that may have run.
  *
  * Answers are buffered completely before anything goes to the caller, so that a truncated answer can be replaced by
  * another target's answer.
--- a/packages/gateway/src/target_health.ts
+++ b/packages/gateway/src/target_health.ts
@@ -93,7 +93,7 @@
     return wasUnreachable;
   }
 
-  /** Makes the target reachable again: this gateway had lost its way to all targets. */
+  /** Makes the target reachable again: this gateway had lost connectivity to all targets. */
   restore(): void {
     this.currentReachability = 'reachable';
     this.failedConnects = 0;
--- a/packages/gateway/src/target_paths.ts
+++ b/packages/gateway/src/target_paths.ts
@@ -1,8 +1,8 @@
 /**
- * Tells whether this gateway has lost its own way to the targets. A connection that fails then says nothing of the target: it
+ * Tells whether this gateway has lost its own connectivity to the targets. A connection that fails then says nothing of the target: it
  * has not crashed, it is not cold afterwards, and other gateways still reach it.
  *
- * Failures at several targets with no sign of life from any target since are a doubt, which a check of other targets settles.
+ * Failures at several targets with no success at any target since are a doubt, which a check of other targets settles.
  */
 import type {TimeSource} from '@cuminsill/utils';
 
@@ -12,27 +12,27 @@
 /** Called when the state changes. */
 export type PathListener = (state: PathState, formerState: PathState) => void;
 
-/** Failures at this many targets, with no sign of life from any target in between, raise a doubt. */
+/** Failures at this many targets, with no success at any target in between, raise a doubt. */
 const minFailedTargets = 2;
-/** Requests that are sent for so long without a sign of life from any target raise a doubt. */
+/** Requests that are sent for so long without a success at any target raise a doubt. */
 const maxSilenceMs = 600;
 const minSilentRequests = 3;
 
 /** A connection that was begun while the gateway was isolated may fail this much later. */
 const lateFailureMs = 1_000;
 
-/** A time without a way to the targets. */
+/** A time without connectivity to the targets. */
 interface Isolation {
-  /** Last sign of life before it. */
+  /** Last success before it. */
   readonly fromMs: number;
   readonly untilMs: number;
 }
 
-/** The ways from one gateway to all targets. */
+/** Connectivity of one gateway to all targets. */
 export class TargetPaths {
   private current: PathState = 'connected';
-  private lastSignOfLifeMs = Number.NEGATIVE_INFINITY;
-  /** Targets that have failed since the last sign of life of any target. */
+  private lastSuccessAtMs = Number.NEGATIVE_INFINITY;
+  /** Targets that have failed since the last success at any target. */
   private readonly failedTargetIds = new Set<string>();
   private sentSince = 0;
   private firstSentMs = 0;
@@ -41,7 +41,7 @@
 
   constructor(private readonly time: TimeSource) {}
 
-  /** State of the ways. */
+  /** Whether targets are reached. */
   get state(): PathState {
     return this.current;
   }
@@ -64,10 +64,10 @@
   }
 
   /** Records that a target has answered or accepted a connection. */
-  recordSignOfLife(): void {
+  recordSuccess(): void {
     const nowMs = this.time.monotonicMs();
-    if (this.isIsolated) this.last = {fromMs: this.lastSignOfLifeMs, untilMs: nowMs};
-    this.lastSignOfLifeMs = nowMs;
+    if (this.isIsolated) this.last = {fromMs: this.lastSuccessAtMs, untilMs: nowMs};
+    this.lastSuccessAtMs = nowMs;
     this.failedTargetIds.clear();
     this.sentSince = 0;
     this.change('connected');
@@ -79,12 +79,12 @@
     if (this.failedTargetIds.size >= minFailedTargets) this.doubt();
   }
 
-  /** True if the target has failed since the last sign of life of any target. */
+  /** True if the target has failed since the last success at any target. */
   hasFailed(targetId: string): boolean {
     return this.failedTargetIds.has(targetId);
   }
 
-  /** Raises a doubt when no target has given a sign of life for too long. */
+  /** Raises a doubt when no target has been reached for too long. */
   review(): void {
     const silenceMs = this.time.monotonicMs() - this.firstSentMs;
     if (this.sentSince >= minSilentRequests && silenceMs > maxSilenceMs) this.doubt();
@@ -96,9 +96,9 @@
     this.change('isolated');
   }
 
-  /** True if a target that became unreachable at the given time did so because this gateway had lost its way to it. */
+  /** True if a target that became unreachable at the given time did so because this gateway had lost connectivity to it. */
   explains(unreachableSinceMs: number): boolean {
-    if (this.isIsolated) return unreachableSinceMs >= this.lastSignOfLifeMs;
+    if (this.isIsolated) return unreachableSinceMs >= this.lastSuccessAtMs;
     if (this.last === undefined) return false;
     const {fromMs, untilMs} = this.last;
     return unreachableSinceMs >= fromMs && unreachableSinceMs <= untilMs + lateFailureMs;
--- a/packages/gateway/src/target_prober.ts
+++ b/packages/gateway/src/target_prober.ts
@@ -20,14 +20,14 @@
   private timer: NodeJS.Timeout | undefined;
   private readonly measurementStartedAtMs = new Map<string, number>();
   private readonly pathChecker: PathChecker;
-  /** Targets whose probes failed while it was open whether this gateway has lost its own ways to the targets. */
-  private readonly doubtfulEnds = new Set<string>();
+  /** Targets whose probes failed while it was open whether this gateway has lost its own connectivity to the targets. */
+  private readonly unconfirmedEnds = new Set<string>();
 
   constructor(private readonly parts: GatewayParts) {
     this.pathChecker = new PathChecker(parts);
     parts.paths.onChange(state => {
-      if (state === 'connected') this.confirmDoubtfulEnds();
-      if (state === 'isolated') this.doubtfulEnds.clear();
+      if (state === 'connected') this.confirmEnds();
+      if (state === 'isolated') this.unconfirmedEnds.clear();
     });
   }
 
@@ -98,20 +98,20 @@
     const wasSuspect = target.health.reachability === 'suspect';
     target.health.onConnectFailure(time.monotonicMs());
     paths.recordFailure(target.id);
-    this.doubtfulEnds.add(target.id);
-    if (paths.state === 'connected') this.confirmDoubtfulEnds();
+    this.unconfirmedEnds.add(target.id);
+    if (paths.state === 'connected') this.confirmEnds();
     if (wasSuspect) log.targetReachability(target.id, 'unreachable', detail);
   }
 
-  /** Confirms the losses at targets that were down while this gateway had a way to the others. */
-  private confirmDoubtfulEnds(): void {
-    for (const id of this.doubtfulEnds) this.parts.pendingLosses.onProcessEnded(id);
-    this.doubtfulEnds.clear();
+  /** Confirms the losses at targets that were down while this gateway reached others. */
+  private confirmEnds(): void {
+    for (const id of this.unconfirmedEnds) this.parts.pendingLosses.onProcessEnded(id);
+    this.unconfirmedEnds.clear();
   }
 
   private onProbeConnected(target: Target): void {
     const {paths} = this.parts;
-    paths.recordSignOfLife();
+    paths.recordSuccess();
     const mayHaveRestarted = !paths.explains(target.health.unreachableSinceMs);
     if (!target.health.onProbeConnected() || !mayHaveRestarted) return;
     const nowMs = this.parts.time.monotonicMs();
