--- a/packages/gateway/src/requests/caller_connection.ts
+++ b/packages/gateway/src/requests/caller_connection.ts
@@ -52,6 +52,11 @@
     return this.bytesInRequests === 0 || this.socket.bytesRead > this.bytesInRequests;
   }
 
+  /** True between requests: all answers were sent, and nothing of another request was read. */
+  get isIdle(): boolean {
+    return this.openRequests === 0 && !this.isLingering && !this.isAwaitingRequest;
+  }
+
   /** Adds a request whose head was read. */
   add(request: http.IncomingMessage, response: http.ServerResponse): void {
     const {pipeline, socket} = this;
--- a/packages/gateway/src/requests/caller_server.ts
+++ b/packages/gateway/src/requests/caller_server.ts
@@ -124,11 +124,16 @@
     for (const server of this.servers) net.Server.prototype.close.call(server);
   }
 
-  /** Closes idle connections right after a poll of the event loop, when all requests that have arrived were read. */
+  /**
+   * Closes idle connections right after a poll of the event loop, when all requests that have arrived were read. The
+   * method of http.Server would also close connections whose answers wait for the caller to read them.
+   */
   private closeIdleConnections(): void {
     setImmediate(() =>
       setImmediate(() => {
-        for (const server of this.servers) server.closeIdleConnections();
+        for (const connection of this.connections.values()) {
+          if (connection.isIdle) connection.destroy();
+        }
       }),
     );
   }
