--- a/scripts/bundle_gateway.mjs
+++ b/scripts/bundle_gateway.mjs
@@ -1,10 +1,31 @@
 /**
- * Bundles the gateway program into one file: `target/cuminsill-gateway.js`, or the path given as the first argument. The
- * bundle leaves out unused code of the libraries, so the gateway starts several times faster than with one file per
- * module, and each restart takes less processor time.
+ * Bundles the gateway: a launcher, `target/cuminsill-gateway.js` or the path given as the first argument, and beside it the
+ * program in one file and its V8 code cache. The bundle leaves out unused code of the libraries, so the gateway starts several
+ * times faster than with one file per module. The code cache saves each start the compilation of what it needs.
  */
-import {existsSync, readdirSync} from 'node:fs';
+import console from 'node:console';
+import {existsSync, readdirSync, rmSync} from 'node:fs';
+import {createRequire} from 'node:module';
+import {resolve} from 'node:path';
+import process from 'node:process';
+import {setTimeout as wait} from 'node:timers/promises';
 import {build} from 'esbuild';
+import {sendRequest, startGateway} from './gateway_on_standins.mjs';
+import {deployedRuntimeFlags} from './runtime_flags.mjs';
+
+const require = createRequire(import.meta.url);
+const launcherFile = resolve(process.argv[2] ?? 'target/cuminsill-gateway.js');
+const programFile = launcherFile.replace(/\.js$/, '.program.js');
+const codeCacheFile = launcherFile.replace(/\.js$/, '.cache');
+const standinsFile = launcherFile.replace(/\.js$/, '.standins.js');
+/** Makes the launcher write the code cache when the program exits. */
+const writeCacheOption = '--write-code-cache';
+
+/** Requests that the gateway serves before its code cache is written. */
+const warmUpRequests = 400;
+const concurrentRequests = 8;
+const objectCount = 40;
+const warmUpTimeoutMs = 60_000;
 
 /** Maps each package to its TypeScript sources, because unused code cannot be removed from compiled CommonJS. */
 const sourceByPackage = Object.fromEntries(
@@ -13,17 +34,61 @@
     .filter(([, file]) => existsSync(file)),
 );
 
-await build({
-  entryPoints: ['platform/src/bin/gateway.ts'],
-  outfile: process.argv[2] ?? 'target/cuminsill-gateway.js',
-  bundle: true,
-  alias: sourceByPackage,
-  platform: 'node',
-  target: 'node20',
-  format: 'cjs',
-  minifySyntax: true,
-  sourcemap: false,
-  // Optional dependencies of bunyan, which works without them.
-  external: ['dtrace-provider', 'mv', 'source-map-support'],
-  logLevel: 'warning',
-});
+function bundle(entryPoint, outfile) {
+  return build({
+    entryPoints: [entryPoint],
+    outfile,
+    bundle: true,
+    alias: sourceByPackage,
+    platform: 'node',
+    target: 'node20',
+    format: 'cjs',
+    minifySyntax: true,
+    sourcemap: false,
+    // Optional dependencies of bunyan, which works without them.
+    external: ['dtrace-provider', 'mv', 'source-map-support'],
+    logLevel: 'warning',
+  });
+}
+
+function warmUpRequest(number) {
+  const isRead = number % 3 > 0;
+  const headers = {
+    Host: 'one.example',
+    'Request-Id': `w-${number}`,
+    'Deadline-Ms': '2000',
+    Cookie: `Affinity-Key=${number % objectCount}`,
+  };
+  return isRead
+    ? {path: '/read/x', headers}
+    : {path: '/book/x', method: 'POST', headers, body: 'a body'};
+}
+
+async function serveWarmUpRequests(port) {
+  let next = 0;
+  const sendOneByOne = async () => {
+    while (next < warmUpRequests) {
+      next += 1;
+      await sendRequest(port, warmUpRequest(next));
+    }
+  };
+  await Promise.all(Array.from({length: concurrentRequests}, sendOneByOne));
+}
+
+async function writeCodeCache() {
+  await bundle('packages/standins/src/index.ts', standinsFile);
+  const command = [...deployedRuntimeFlags(), launcherFile, writeCacheOption];
+  const gateway = await startGateway(require(standinsFile), command);
+  await serveWarmUpRequests(gateway.ports.front);
+  await gateway.stop();
+  rmSync(standinsFile);
+}
+
+rmSync(codeCacheFile, {force: true});
+await bundle('platform/src/bin/launcher.ts', launcherFile);
+await bundle('platform/src/bin/gateway.ts', programFile);
+// The gateway starts without a code cache too, so a failure here must not prevent its deployment.
+const hasTimedOut = wait(warmUpTimeoutMs, 'time-out', {ref: false});
+const failure = await Promise.race([writeCodeCache(), hasTimedOut]).catch(error => error);
+if (failure !== undefined) console.error('the code cache was not written:', failure);
+process.exit(0);
--- a/scripts/measure_gateway_process.mjs
+++ b/scripts/measure_gateway_process.mjs
@@ -8,26 +8,22 @@
  * PROGRAM is a path of a bundled gateway; the default is `target/cuminsill-gateway.js`. `--profile` writes a V8 profile
  * of each process, `--flags` replaces the deployed flags of the runtime.
  */
-import {spawn} from 'node:child_process';
 import console from 'node:console';
-import {mkdtempSync, readdirSync, readFileSync, writeFileSync} from 'node:fs';
+import {readdirSync, readFileSync} from 'node:fs';
 import * as http from 'node:http';
 import {createRequire} from 'node:module';
-import {tmpdir} from 'node:os';
-import {join} from 'node:path';
 import {performance} from 'node:perf_hooks';
 import process from 'node:process';
 import {setTimeout as wait} from 'node:timers/promises';
 import {parseArgs} from 'node:util';
+import {sendRequest, startGateway} from './gateway_on_standins.mjs';
+import {deployedRuntimeFlags} from './runtime_flags.mjs';
 
 const require = createRequire(import.meta.url);
 const standins = require('../packages/standins/dist/index.js');
 
 const checkpoints = [1, 100, 200, 1_000, 3_000];
-const targetCount = 24;
 const objectCount = 120;
-const workMs = 20;
-const host = '127.0.0.1';
 const nanosecondsPerMs = 1e6;
 
 const {values: options, positionals: programs} = parseArgs({
@@ -41,14 +37,6 @@
 });
 if (programs.length === 0) programs.push('target/cuminsill-gateway.js');
 
-/** Flags of the runtime; by default those of the deployed program. */
-function runtimeFlags() {
-  if (options.flags !== undefined) return options.flags.split(' ');
-  const [, flags = ''] =
-    /^run = "node (.*) \S+"$/m.exec(readFileSync('deploy/system.toml', 'utf8')) ?? [];
-  return flags.split(' ');
-}
-
 /** Processor time of all threads of a process, from its start, in milliseconds. */
 function cpuTimeMs(processId) {
   const tasks = readdirSync(`/proc/${processId}/task`);
@@ -65,37 +53,6 @@
   return Number(kilobytes) / 1024;
 }
 
-async function startPlatform() {
-  const store = new standins.ObjectStoreServer();
-  const storePort = await store.start();
-  store.table.create('config', 'main', {spec: standins.wireConfiguration(1)});
-  const endpoints = [];
-  for (let number = 0; number < targetCount; number += 1) {
-    const endpoint = new standins.EndpointServer({
-      id: `i-${number}`,
-      slots: 6,
-      queueLength: 18,
-      workMs,
-      script: [],
-    });
-    const port = await endpoint.start();
-    store.table.create('servers', `i-${number}`, {spec: standins.wireEndpoint(port, {})});
-    endpoints.push(endpoint);
-  }
-  return {storePort, stop: () => [store, ...endpoints].forEach(server => server.stop())};
-}
-
-function request(port, path, headers, agent) {
-  return new Promise(resolve => {
-    const call = http.get({host, port, path, headers, agent}, response => {
-      response.resume();
-      response.on('end', () => resolve(response.statusCode));
-      response.on('error', () => resolve(0));
-    });
-    call.on('error', () => resolve(0));
-  });
-}
-
 /** Sends requests at a steady pace, and calls `onAnswered` with the number of successful ones so far. */
 async function sendLoad(port, count, onAnswered) {
   const agent = new http.Agent({keepAlive: true});
@@ -110,7 +67,7 @@
       'Deadline-Ms': '2000',
       Cookie: `Affinity-Key=${(number * 7) % objectCount}`,
     };
-    const call = request(port, '/read/x', headers, agent).then(status => {
+    const call = sendRequest(port, {path: '/read/x', headers, agent}).then(status => {
       if (status !== 200) return;
       answered += 1;
       onAnswered(answered);
@@ -121,34 +78,23 @@
   agent.destroy();
 }
 
-async function measure(program) {
-  const platform = await startPlatform();
-  const [front, ready, directory, peer, metrics] = await standins.findFreePorts(host, 5);
-  const template = readFileSync(standins.settingsTemplateFile, 'utf8');
-  const ports = {front, ready, directory, peer, metrics, store: platform.storePort};
-  const settingsFile = join(mkdtempSync(join(tmpdir(), 'cuminsill-')), 'settings.json');
-  writeFileSync(
-    settingsFile,
-    standins.renderGatewaySettings(template, host, ports, standins.defaultPlacement),
-  );
-  const profileFlags =
+function command(program) {
+  const flags = options.flags === undefined ? deployedRuntimeFlags() : options.flags.split(' ');
+  const profile =
     options.profile === undefined ? [] : ['--cpu-prof', `--cpu-prof-dir=${options.profile}`];
+  return [...flags, ...profile, program];
+}
+
+async function measure(program) {
   const startedAtMs = performance.now();
-  const child = spawn(
-    process.execPath,
-    [...runtimeFlags(), ...profileFlags, program, '--settings', settingsFile],
-    {stdio: ['ignore', 'ignore', 'inherit']},
-  );
-  const exited = new Promise(resolve => child.once('exit', resolve));
-  while ((await request(ready, '/cuminsill/ready', {})) !== 200) await wait(2);
-  const row = {program, readyMs: performance.now() - startedAtMs, ready: cpuTimeMs(child.pid)};
-  await sendLoad(front, checkpoints.at(-1), answered => {
-    if (checkpoints.includes(answered)) row[answered] = cpuTimeMs(child.pid);
+  const gateway = await startGateway(standins, command(program));
+  const {processId} = gateway;
+  const row = {program, readyMs: performance.now() - startedAtMs, ready: cpuTimeMs(processId)};
+  await sendLoad(gateway.ports.front, checkpoints.at(-1), answered => {
+    if (checkpoints.includes(answered)) row[answered] = cpuTimeMs(processId);
   });
-  row.peakMb = peakMemoryMb(child.pid);
-  child.kill('SIGTERM');
-  await exited;
-  platform.stop();
+  row.peakMb = peakMemoryMb(processId);
+  await gateway.stop();
   return row;
 }
 
