--- a/packages/gateway/src/forwarding/record_exchange_end.ts
+++ b/packages/gateway/src/forwarding/record_exchange_end.ts
@@ -2,7 +2,6 @@
 import type {ForwardedRequest} from './forwarded_request';
 import type {GatewayParts} from '../gateway_parts';
 import type {Placement} from '../targets/placement';
-import {recordServiceTime} from '../targets/record_service_time';
 import type {ExchangeEnd, TargetAnswer} from './target_exchange';
 
 /** An exchange that ended with an answer of a target. */
@@ -41,6 +40,8 @@
 const slowCancelRatio = 1.5;
 /** Status with which a target turns a request away. */
 const rejectedStatus = 503;
+/** Shorter service times are ignored, because the network delay dominates them. */
+const minServiceTimeMs = 5;
 
 const recorders: EndRecorders = {
   answered: recordAnswer,
@@ -90,11 +91,26 @@
     return;
   }
   const {objectKey} = forwarded.request.head;
+  const serviceTimes = parts.serviceTimes.of(forwarded.service);
   const roundTripMs = parts.roundTripTimes.expectedMs(target.failureDomain);
   const serviceTimeMs = Math.max(0, end.firstByteMs - roundTripMs - placement.waitMs);
-  const mayHaveWaited = placement.waitMs > 0 || (end.answer.head.load?.waiting ?? 0) > 0;
-  const timed = {objectKey, serviceTimeMs, mayHaveWaited};
-  recordServiceTime(target, parts.serviceTimes.of(forwarded.service), timed, nowMs);
+  serviceTimes.recordAnswer(serviceTimeMs);
+  if (serviceTimeMs >= minServiceTimeMs) {
+    const usualMs = target.workDuration.normalize(
+      serviceTimeMs,
+      nowMs,
+      serviceTimes.durationModel,
+      serviceTimes,
+    );
+    const mayHaveWaited = placement.waitMs > 0 || (end.answer.head.load?.waiting ?? 0) > 0;
+    // Service times of slow targets do not count for the service's estimate.
+    if (!target.health.isSlow(nowMs) && !target.isCold(nowMs)) {
+      serviceTimes.observe(usualMs, mayHaveWaited);
+    }
+    // The target itself is slow only if it took longer than for an uncached object.
+    target.health.onAnswer(nowMs, Math.max(1, usualMs / serviceTimes.expectedMs(false)));
+  }
+  if (objectKey !== undefined) target.recentObjects.recordUse(objectKey, nowMs);
 }
 
 function recordRejection(context: ExchangeContext, end: ExchangeEndOfKind<'declined'>): void {
--- a/packages/gateway/src/targets/target.ts
+++ b/packages/gateway/src/targets/target.ts
@@ -3,7 +3,6 @@
 import {hash32} from '@cuminsill/utils';
 import {ColdTargetLimiter} from './cold_target_limiter';
 import type {TargetRecord} from '../gateway_types';
-import {HeldObjectTimes} from './held_object_times';
 import {RecentObjects} from './recent_objects';
 import {TargetDirectives} from './target_directives';
 import {TargetLoad} from './target_load';
@@ -31,7 +30,6 @@
   readonly coldLimiter = new ColdTargetLimiter();
   readonly directives = new TargetDirectives();
   readonly recentObjects = new RecentObjects();
-  readonly heldObjectTimes = new HeldObjectTimes();
   readonly workDuration = new WorkDuration();
   health = new TargetHealth();
   /** Hash of the id, for rendezvous hashing. */
@@ -143,7 +141,6 @@
     this.health = new TargetHealth();
     this.directives.reset();
     this.recentObjects.clear();
-    this.heldObjectTimes.reset();
     this.workDuration.reset();
     this.hasWrongAddress = false;
   }
