--- a/packages/gateway/__fixtures__/baseline_policies.ts
+++ b/packages/gateway/__fixtures__/baseline_policies.ts
@@ -34,5 +34,5 @@
     .map(target => ({target, cost: cost(target)}))
     .sort((a, b) => a.cost - b.cost);
   if (best === undefined) return undefined;
-  return {target: best.target, expectedMs: 0, waitMs: 0};
+  return {target: best.target, expectedMs: 0, waitMs: 0, isHeld: false};
 }
--- a/packages/gateway/__fixtures__/reference_placement.ts
+++ b/packages/gateway/__fixtures__/reference_placement.ts
@@ -172,7 +172,8 @@
   const evictionCostMs = isCacheMiss ? savedMs * evictionCostFactor : 0;
   const fullCostMs = isCacheMiss && waitMs > 0 ? fullTargetCostMs : 0;
   const costMs = expectedMs + evictionCostMs + fullCostMs + rank * costPerRankMs;
-  return {placement: {target, expectedMs, waitMs}, costMs};
+  const isHeld = mayBeCached && target.recentObjects.has(objectKey, nowMs);
+  return {placement: {target, expectedMs, waitMs, isHeld}, costMs};
 }
 
 function expectedWaitMs(target: Target, averageServiceTimeMs: number, nowMs: number): number {
--- a/packages/gateway/src/forwarding/attempt_record.ts
+++ b/packages/gateway/src/forwarding/attempt_record.ts
@@ -11,6 +11,8 @@
   readonly targetId: string;
   readonly end: ExchangeEnd['kind'] | 'cancelled';
   readonly elapsedMs: number;
+  /** Whether the target had handled the object of the request for this gateway lately; left out without an object. */
+  readonly isHeld?: boolean;
   readonly detail?: string;
   /** True when the connection had carried an earlier request; only for lost connections. */
   readonly reusedConnection?: boolean;
@@ -37,6 +39,12 @@
     return this.attempts.filter(({end}) => end === 'lost').length;
   }
 
+  /** Target whose connection was lost while it had the request, in the latest attempt that ended; undefined otherwise. */
+  get lastLostTargetId(): string | undefined {
+    const last = this.attempts.at(-1);
+    return last?.end === 'lost' ? last.targetId : undefined;
+  }
+
   /** True when connections failed and no target was reached. */
   get wasOnlyUnsent(): boolean {
     return this.sentCount === 0 && this.unsentCount > 0;
@@ -59,11 +67,12 @@
   }
 
   /** Records the end of an attempt. */
-  recordEnd(targetId: string, end: ExchangeEnd, elapsedMs: number): void {
+  recordEnd(targetId: string, end: ExchangeEnd, elapsedMs: number, isHeld?: boolean): void {
     this.inFlightCount -= 1;
     const detail = 'detail' in end ? {detail: end.detail} : {};
     const connection = end.kind === 'lost' ? {reusedConnection: end.reusedConnection} : {};
-    const summary = {targetId, end: end.kind, elapsedMs: Math.round(elapsedMs)};
+    const held = isHeld === undefined ? {} : {isHeld};
+    const summary = {targetId, end: end.kind, elapsedMs: Math.round(elapsedMs), ...held};
     this.attempts.push({...summary, ...detail, ...connection});
     if (end.kind === 'unsent') {
       this.unsentCount += 1;
--- a/packages/gateway/src/forwarding/forwarding.ts
+++ b/packages/gateway/src/forwarding/forwarding.ts
@@ -14,7 +14,9 @@
 import {endsWithin} from './hedge_delay';
 import type {ForwardedRequest} from './forwarded_request';
 import type {Placement} from '../targets/placement';
-import {placeRequest} from '../targets/placement';
+import type {PlannedHedge} from './hedge_planner';
+import {HedgePlanner} from './hedge_planner';
+import {RequestPlacement} from './request_placement';
 import type {ExchangeEnd} from './target_exchange';
 import {classifyResponse, exchangeWithTarget} from './target_exchange';
 import {defaultRetryAfterMs, usableAgainAfterMs} from './usable_again';
@@ -22,6 +24,7 @@
 import {RelayAttempts} from './relay_attempts';
 import type {EndedAttempt} from './record_exchange_end';
 import {recordExchangeCancel, recordExchangeEnd} from './record_exchange_end';
+import type {Target} from '../targets/target';
 
 /** The final answer, the attempts and the last admission. */
 export interface ForwardingResult {
@@ -30,14 +33,12 @@
   readonly admission: AdmissionRecord | undefined;
 }
 
-/**
- * A hedge starts after this multiple of the service time for an uncached object. The time for a cached object would
- * be too short: when the target has evicted the object, its answer takes longer without being lost.
- */
-const hedgeDelayFactor = 3;
-const minHedgeDelayMs = 300;
 /** Time beyond the round trip within which a target must accept a connection. */
 const connectMarginMs = 400;
+/** Time beyond the round trip within which a probe of a target usually ends. */
+const probeMarginMs = 5;
+
+type RunningAttempt = Fiber.RuntimeFiber<UsableAnswer, AttemptFailed>;
 
 interface AttemptFailed {
   readonly kind: 'try-failed';
@@ -70,6 +71,8 @@
   private lastAdmission: AdmissionRecord | undefined;
   private refusal: FinalAnswer | undefined;
   private readonly relays: RelayAttempts;
+  private readonly placements: RequestPlacement;
+  private readonly hedges: HedgePlanner;
   /** True if a target was known to have gone down under the same request before this one was sent. */
   private readonly wasSuspected: boolean;
 
@@ -79,6 +82,13 @@
   ) {
     this.wasSuspected = parts.poison.isSuspected(forwarded.fingerprint);
     this.relays = new RelayAttempts(parts, forwarded, this.record);
+    this.placements = new RequestPlacement(parts, forwarded, this.record);
+    this.hedges = new HedgePlanner(
+      parts,
+      forwarded,
+      this.placements,
+      () => this.mayRetry() && keyRefusal(parts, forwarded) === undefined,
+    );
   }
 
   /** Ends without a timeout of its own: each exchange has a deadline, and a retry needs remaining time. */
@@ -154,44 +164,67 @@
       : Effect.catchAll(attempt, () => this.retry());
   }
 
-  /** Starts a hedge when the attempt has not ended after the hedge delay; the first usable answer wins. */
+  /** Starts a hedge at the first of the hedge times at which there is a target for it; the first usable answer wins. */
   private attemptWithHedge(
     attempt: Effect.Effect<UsableAnswer, AttemptFailed>,
     placement: Placement,
   ): Effect.Effect<UsableAnswer, AttemptFailed> {
-    return Effect.gen(this, function* () {
-      const running = yield* Effect.fork(attempt);
-      const outcome = endsWithin(running, this.hedgeDelayMs(placement), this.parts.paths).pipe(
-        Effect.flatMap(hasEnded => this.hedgeOrAwait(running, hasEnded)),
-      );
-      return yield* Effect.ensuring(outcome, Fiber.interrupt(running));
-    });
+    return Effect.flatMap(Effect.fork(attempt), running =>
+      Effect.ensuring(
+        this.awaitOrHedge(running, this.hedges.plan(placement)),
+        // Interrupting a fiber that has ended would cost as much as one that runs.
+        Effect.suspend(() =>
+          running.unsafePoll() === null ? Fiber.interrupt(running) : Effect.void,
+        ),
+      ),
+    );
   }
 
-  private hedgeOrAwait(
-    running: Fiber.RuntimeFiber<UsableAnswer, AttemptFailed>,
-    hasEnded: boolean,
+  private awaitOrHedge(
+    running: RunningAttempt,
+    [next, ...later]: readonly PlannedHedge[],
   ): Effect.Effect<UsableAnswer, AttemptFailed> {
-    if (!hasEnded && this.parts.paths.isIsolated) {
-      return Effect.race(Fiber.join(running), this.relay());
-    }
-    const hedge = hasEnded ? undefined : this.chooseHedge();
-    if (hedge !== undefined) return Effect.race(Fiber.join(running), this.attemptAt(hedge));
-    return Effect.catchAll(Fiber.join(running), () => this.retry());
+    if (next === undefined) return Effect.catchAll(Fiber.join(running), () => this.retry());
+    return Effect.flatMap(endsWithin(running, next.delayMs, this.parts.paths), hasEnded => {
+      if (hasEnded) return this.awaitOrHedge(running, []);
+      if (this.parts.paths.isIsolated) return Effect.race(Fiber.join(running), this.relay());
+      const hedge = next.choose();
+      if (hedge !== undefined) return Effect.race(Fiber.join(running), this.attemptAt(hedge));
+      return this.awaitOrHedge(running, later);
+    });
   }
 
   private retry(): Effect.Effect<UsableAnswer, AttemptFailed> {
     return Effect.suspend(() => {
-      if (this.mayRetry()) return this.attemptNext();
-      return this.record.wasOnlyUnsent ? this.relay() : Effect.fail(attemptFailed);
+      if (!this.mayRetry()) {
+        return this.record.wasOnlyUnsent ? this.relay() : Effect.fail(attemptFailed);
+      }
+      return Effect.zipRight(this.awaitProbe(), this.attemptNext());
     });
   }
 
-  private hedgeDelayMs(placement: Placement): number {
-    const {service} = this.forwarded;
-    const uncachedMs = this.parts.serviceTimes.of(service).expectedMs(false) + placement.waitMs;
-    const roundTripMs = this.parts.roundTripTimes.expectedMs(placement.target.failureDomain);
-    return Math.max(minHedgeDelayMs, hedgeDelayFactor * uncachedMs + roundTripMs);
+  /** Waits for the probe of a target that lost the answer but may hold the object, since another target may not hold it. */
+  private awaitProbe(): Effect.Effect<void> {
+    const {parts, forwarded, record} = this;
+    const {lastLostTargetId} = record;
+    const target = parts.targets
+      .ofService(forwarded.service)
+      .find(({id, health}) => id === lastLostTargetId && health.reachability === 'suspect');
+    if (target === undefined || !this.holdsObject(target)) return Effect.void;
+    const roundTripMs = parts.roundTripTimes.expectedMs(target.failureDomain);
+    return Effect.sleep(roundTripMs + probeMarginMs);
+  }
+
+  private holdsObject(target: Target): boolean {
+    const {objectKey} = this.forwarded.request.head;
+    const nowMs = this.parts.time.monotonicMs();
+    return objectKey !== undefined && target.recentObjects.has(objectKey, nowMs);
+  }
+
+  /** True for a target that has lost the answer, but was reached since and holds the object. */
+  private mayAskAgain(target: Target): boolean {
+    const wasLost = target.id === this.record.lastLostTargetId;
+    return wasLost && target.health.reachability === 'reachable' && this.holdsObject(target);
   }
 
   /**
@@ -227,7 +260,7 @@
 
   /** Chooses a target for a first attempt or a retry; without one, keeps the refusal and returns undefined. */
   private chooseAdmitted(): Placement | undefined {
-    const placement = this.choosePlacement();
+    const placement = this.placements.choose(target => this.mayAskAgain(target));
     if (placement === undefined) {
       this.refusal = ownAnswer('no-usable-target', this.usableAgainAfterMs());
       return undefined;
@@ -284,45 +317,6 @@
     return hash32(this.forwarded.request.requestId) / 2 ** 32;
   }
 
-  private chooseHedge(): Placement | undefined {
-    if (!this.mayRetry() || keyRefusal(this.parts, this.forwarded) !== undefined) return undefined;
-    const placement = this.choosePlacement();
-    if (placement === undefined || placement.expectedMs > this.remainingMs()) return undefined;
-    // A hedge that has to wait would take capacity from requests that have no attempt yet.
-    if (placement.waitMs > 0) return undefined;
-    return this.parts.retryBudget.tryTake(this.forwarded.service) ? placement : undefined;
-  }
-
-  private choosePlacement(): Placement | undefined {
-    const {parts, forwarded} = this;
-    const {peers, evacuations, serviceTimes, roundTripTimes} = parts;
-    const settings = parts.settings.value;
-    const rule = parts.configuration.routes?.configuration.services.get(forwarded.service);
-    const coldRequestsPerS = (rule?.coldRequestsPerS ?? 1) * settings.bounds.coldOvershoot;
-    return placeRequest(
-      {
-        objectKey: forwarded.request.head.objectKey,
-        homeRegions: forwarded.route.homeRegions,
-        bodyBytes: forwarded.request.body.length,
-        attemptedTargetIds: this.record.attemptedTargetIds,
-        latencyObjectiveMs: forwarded.route.targetLatencyMs,
-      },
-      parts.targets.ofService(forwarded.service),
-      {
-        nowMs: parts.time.monotonicMs(),
-        ownName: settings.name,
-        ownRegion: settings.region,
-        ownCallerFraction: peers.ownRegionFraction(),
-        gatewayNames: peers.activeGatewayNames(),
-        evacuatedDomains: evacuations.evacuatedDomains,
-        coldLimit: {requestsPerS: coldRequestsPerS + settings.bounds.coldSlack},
-        serviceTime: serviceTimes.of(forwarded.service),
-        roundTripTimes,
-        regionalShare: parts.regionalShares.of(forwarded.service),
-      },
-    );
-  }
-
   private exchange(placement: Placement): Effect.Effect<ExchangeEnd> {
     const {parts, forwarded, record} = this;
     const {target} = placement;
@@ -368,7 +362,7 @@
           Effect.sync(() => {
             target.load.recordEnd();
             record.recordCancel(target.id, elapsedMs());
-            recordExchangeCancel(parts, placement, elapsedMs());
+            recordExchangeCancel(parts, placement, startedAtMs);
           }),
         ),
       );
@@ -380,6 +374,7 @@
     const {placement, end, elapsedMs} = attempt;
     recordExchangeEnd(parts, forwarded, attempt);
     placement.target.load.recordEnd();
-    record.recordEnd(placement.target.id, end, elapsedMs);
+    const isHeld = forwarded.request.head.objectKey === undefined ? undefined : placement.isHeld;
+    record.recordEnd(placement.target.id, end, elapsedMs, isHeld);
   }
 }
--- a/packages/gateway/src/forwarding/record_exchange_end.ts
+++ b/packages/gateway/src/forwarding/record_exchange_end.ts
@@ -2,6 +2,7 @@
 import type {ForwardedRequest} from './forwarded_request';
 import type {GatewayParts} from '../gateway_parts';
 import type {Placement} from '../targets/placement';
+import {hasProbablyLost} from './second_try';
 import type {ExchangeEnd, TargetAnswer} from './target_exchange';
 
 /** An exchange that ended with an answer of a target. */
@@ -36,7 +37,7 @@
   ) => void;
 };
 
-/** A request cancelled after this multiple of the expected time shows that the target is slow. */
+/** A request cancelled after this multiple of the expected time shows that the target is slow or has lost the answer. */
 const slowCancelRatio = 1.5;
 /** Status with which a target turns a request away. */
 const rejectedStatus = 503;
@@ -54,6 +55,7 @@
   'timed-out': ({parts, placement: {target}}) => {
     target.health.markSuspect(parts.time.monotonicMs());
     parts.paths.recordFailure(target.id);
+    parts.suspects.report(target);
   },
 };
 
@@ -72,10 +74,14 @@
 export function recordExchangeCancel(
   parts: GatewayParts,
   placement: Placement,
-  elapsedMs: number,
+  startedAtMs: number,
 ): void {
-  const ratio = elapsedMs / Math.max(1, placement.expectedMs);
-  if (ratio >= slowCancelRatio) placement.target.health.onCancel(parts.time.monotonicMs(), ratio);
+  const {target, expectedMs, isHeld} = placement;
+  const nowMs = parts.time.monotonicMs();
+  const ratio = (nowMs - startedAtMs) / Math.max(1, expectedMs);
+  if (ratio < slowCancelRatio) return;
+  if (isHeld && hasProbablyLost(target, startedAtMs, nowMs)) target.health.onFailure(nowMs);
+  else target.health.onCancel(nowMs, ratio);
 }
 
 function recordAnswer(context: ExchangeContext, end: ExchangeEndOfKind<'answered'>): void {
@@ -83,6 +89,7 @@
   const {target} = placement;
   const nowMs = parts.time.monotonicMs();
   parts.paths.recordSuccess();
+  target.health.recordAnsweredSend(nowMs - context.attempt.elapsedMs);
   recordReports(context, end.answer, nowMs);
   recordDirectives(context, end);
   parts.poison.recordAnswered(forwarded.fingerprint, target.id, end.answer.status);
@@ -139,6 +146,7 @@
     {fingerprint, incarnationId, isRepeat, knownEndCount, targetId, address, elapsedMs},
     target.incarnationId,
   );
+  parts.suspects.report(target);
 }
 
 function recordReports(
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -50,6 +50,7 @@
 import {SelfRegistration} from './peers/self_registration';
 import {ServiceSelector} from './requests/service_selector';
 import {ServiceTimeEstimators} from './targets/service_time_estimator';
+import {SuspectTargets} from './targets/suspect_targets';
 import {TargetConnections} from './targets/target_connections';
 import {TargetDirectory} from './targets/target_directory';
 import type {PathState} from './targets/target_paths';
@@ -240,6 +241,7 @@
       dial: this.dial,
       connections: new TargetConnections(this.dial),
       paths,
+      suspects: new SuspectTargets(),
       relays: new RelayPeers(region, () => peers.servingPeers(), time),
       relayConnections: new TargetConnections(options =>
         // The relay recognizes a gateway by its address.
--- a/packages/gateway/src/gateway_parts.ts
+++ b/packages/gateway/src/gateway_parts.ts
@@ -21,6 +21,7 @@
 import type {RetryBudget} from './forwarding/retry_budget';
 import type {ServiceSelector} from './requests/service_selector';
 import type {ServiceTimeEstimators} from './targets/service_time_estimator';
+import type {SuspectTargets} from './targets/suspect_targets';
 import type {TargetConnections} from './targets/target_connections';
 import type {TargetDirectory} from './targets/target_directory';
 import type {TargetPaths} from './targets/target_paths';
@@ -42,6 +43,7 @@
   readonly dial: Dial;
   readonly connections: TargetConnections;
   readonly paths: TargetPaths;
+  readonly suspects: SuspectTargets;
   readonly relays: RelayPeers;
   /** Connections to gateways that relay requests. */
   readonly relayConnections: TargetConnections;
--- a/packages/gateway/src/targets/placement.ts
+++ b/packages/gateway/src/targets/placement.ts
@@ -55,6 +55,8 @@
   readonly expectedMs: number;
   /** Part of the expected time that the request waits for a slot. */
   readonly waitMs: number;
+  /** True when the target has handled the object for this gateway lately and probably holds it. */
+  readonly isHeld: boolean;
 }
 
 /** Expected cost of a failed attempt, as a multiple of its service time. */
@@ -294,7 +296,8 @@
   const evictionCostMs = isCacheMiss ? savedMs * evictionCostFactor : 0;
   const fullCostMs = isCacheMiss && waitMs > 0 ? fullTargetCostMs : 0;
   const costMs = expectedMs + evictionCostMs + fullCostMs + rank * costPerRankMs;
-  return {placement: {target, expectedMs, waitMs}, costMs};
+  const isHeld = mayBeCached && target.recentObjects.has(objectKey, nowMs);
+  return {placement: {target, expectedMs, waitMs, isHeld}, costMs};
 }
 
 function expectedWaitMs(target: Target, averageServiceTimeMs: number, nowMs: number): number {
--- a/packages/gateway/src/targets/target_health.ts
+++ b/packages/gateway/src/targets/target_health.ts
@@ -32,6 +32,7 @@
   private failedConnects = 0;
   private probeDueAtMs = 0;
   private unreachableFromMs = Number.NEGATIVE_INFINITY;
+  private lastAnsweredSendMs = Number.NEGATIVE_INFINITY;
 
   get reachability(): Reachability {
     return this.currentReachability;
@@ -42,6 +43,16 @@
     return this.unreachableFromMs;
   }
 
+  /** When the latest of the requests that the target has answered was sent. */
+  get lastAnsweredSendAtMs(): number {
+    return this.lastAnsweredSendMs;
+  }
+
+  /** Records when a request was sent that the target has answered. */
+  recordAnsweredSend(sentAtMs: number): void {
+    this.lastAnsweredSendMs = Math.max(this.lastAnsweredSendMs, sentAtMs);
+  }
+
   /** Records a complete answer, whose service time was `ratio` times the expected one. */
   onAnswer(nowMs: number, ratio: number): void {
     this.currentReachability = 'reachable';
--- a/packages/gateway/src/targets/target_prober.ts
+++ b/packages/gateway/src/targets/target_prober.ts
@@ -25,6 +25,7 @@
 
   constructor(private readonly parts: GatewayParts) {
     this.pathChecker = new PathChecker(parts);
+    parts.suspects.onSuspect(target => this.startDueProbe(target));
     parts.paths.onChange(state => {
       if (state === 'connected') this.confirmEnds();
       if (state === 'isolated') this.unconfirmedEnds.clear();
@@ -48,16 +49,23 @@
     pendingLosses.review(paths.state === 'connected');
     // Until the checker reaches a target again, probes of all targets would tell nothing of them.
     if (paths.isIsolated) return;
-    const nowMs = this.parts.time.monotonicMs();
     for (const target of this.parts.targets.all()) {
       if (!target.isAssignable) continue;
-      if (target.health.isProbeDue(nowMs)) {
-        target.health.onProbeStart(nowMs);
-        this.probe(target);
-      } else this.measureRoundTrip(target, nowMs);
+      if (!this.startDueProbe(target)) {
+        this.measureRoundTrip(target, this.parts.time.monotonicMs());
+      }
     }
   }
 
+  /** Returns whether a probe of the target was due. */
+  private startDueProbe(target: Target): boolean {
+    const nowMs = this.parts.time.monotonicMs();
+    if (this.parts.paths.isIsolated || !target.health.isProbeDue(nowMs)) return false;
+    target.health.onProbeStart(nowMs);
+    this.probe(target);
+    return true;
+  }
+
   private measureRoundTrip({failureDomain, address}: Target, nowMs: number): void {
     const {roundTripTimes} = this.parts;
     const measuredAtMs = this.measurementStartedAtMs.get(failureDomain);
