--- a/packages/gateway/src/forwarding/target_exchange.ts
+++ b/packages/gateway/src/forwarding/target_exchange.ts
@@ -11,7 +11,7 @@
 import type {TimeSource} from '@cuminsill/utils';
 import {Effect} from 'effect';
 import type {CallerRequest} from '../requests/caller_request';
-import {endToEndHeaders, groupHeaders} from '../requests/end_to_end_headers';
+import {endToEndHeaders} from '../requests/end_to_end_headers';
 import type {RequestWire, TargetHead} from '../requests/request_wire';
 import type {TargetConnections, TargetRequestOptions} from '../targets/target_connections';
 import {maxIdleForAtMostOnceMs} from '../targets/target_connections';
@@ -140,12 +140,13 @@
     };
   }
 
-  private headers(): http.OutgoingHttpHeaders {
+  /** Names and values by turns: Node.js writes them as they are, without a look-up of each name. */
+  private headers(): readonly string[] {
     const {request, addedHeaders, replacedHeaders} = this.exchange;
-    const callerHeaders = endToEndHeaders(request.rawHeaders, replacedHeaders);
-    const headers: http.OutgoingHttpHeaders = {...groupHeaders(callerHeaders), ...addedHeaders};
+    const headers = endToEndHeaders(request.rawHeaders, replacedHeaders);
+    for (const [name, value] of Object.entries(addedHeaders)) headers.push(name, value);
     const hasBody = request.body.length > 0 || !bodilessMethods.has(request.method);
-    if (hasBody) headers['Content-Length'] = request.body.length;
+    if (hasBody) headers.push('Content-Length', String(request.body.length));
     return headers;
   }
 
--- a/packages/gateway/src/requests/answer_writer.ts
+++ b/packages/gateway/src/requests/answer_writer.ts
@@ -38,60 +38,65 @@
   context: AnswerContext,
 ): void {
   const {answer} = served;
-  const relayHeaders = context.isRelayed ? relayAnswerHeaders(answer) : [];
-  for (const [name, value] of relayHeaders) response.setHeader(name, value);
-  if (answer.kind === 'relayed') writeRelayed(request, response, answer.answer, context.isRelayed);
-  else writeOwnAnswer(response, answer, served.requestId, context);
+  const relayHeaders = context.isRelayed ? relayAnswerHeaders(answer).flat() : [];
+  if (answer.kind === 'relayed') {
+    writeRelayed(request, response, answer.answer, relayHeaders, context.isRelayed);
+  } else {
+    writeOwnAnswer(response, answer, relayHeaders, served.requestId, context);
+  }
 }
 
 function writeOwnAnswer(
   response: http.ServerResponse,
   answer: Extract<FinalAnswer, {kind: 'own'}>,
+  relayHeaders: readonly string[],
   requestId: string | undefined,
   {parts}: AnswerContext,
 ): void {
   const {code, status, text} = gatewayReasons[answer.reason];
   const body = Buffer.from(JSON.stringify({code, reason: answer.reason, message: text}));
-  const headers: http.OutgoingHttpHeaders = {
-    'Content-Type': 'application/json',
-    'Content-Length': body.length,
-    ...(requestId === undefined ? {} : parts.requestWire.answerHeaders(requestId)),
-  };
+  const headers = [
+    ...relayHeaders,
+    'Content-Type',
+    'application/json',
+    'Content-Length',
+    String(body.length),
+    ...(requestId === undefined
+      ? []
+      : Object.entries(parts.requestWire.answerHeaders(requestId)).flat()),
+  ];
   if (answer.retryAfterMs !== undefined) {
-    headers['Retry-After'] = (answer.retryAfterMs / 1000).toFixed(3);
+    headers.push('Retry-After', (answer.retryAfterMs / 1000).toFixed(3));
   }
   response.writeHead(status, headers);
   response.end(body);
 }
 
+/**
+ * Sends a close-delimited body without a length too: with a length, a truncated body would look complete. Another gateway
+ * gets the length, to see whether the body is complete, and a header that says how it was delimited.
+ */
 function writeRelayed(
   request: http.IncomingMessage,
   response: http.ServerResponse,
   answer: TargetAnswer,
+  relayHeaders: readonly string[],
   isForGateway: boolean,
 ): void {
   const replaced = isForGateway ? relayHeaderNames : noReplacedHeaders;
-  const headers = endToEndHeaders(answer.rawHeaders, replaced);
-  for (const [name, value] of headers) response.appendHeader(name, value);
+  const headers = [...relayHeaders, ...endToEndHeaders(answer.rawHeaders, replaced)];
   response.sendDate = false;
-  if (mayHaveBody(request, answer)) frameBody(response, answer, isForGateway);
-  response.writeHead(answer.status, answer.statusText);
+  if (mayHaveBody(request, answer)) {
+    if (answer.isSelfDelimited || isForGateway) {
+      headers.push('Content-Length', String(answer.body.length));
+    } else {
+      response.useChunkedEncodingByDefault = false;
+    }
+  }
+  response.writeHead(answer.status, answer.statusText, headers);
   response.end(answer.body);
 }
 
 function mayHaveBody({method}: http.IncomingMessage, {status}: TargetAnswer): boolean {
   return status !== 204 && status !== 304 && method !== 'HEAD';
 }
-
-/**
- * Sends a close-delimited body without a length too: with a length, a truncated body would look complete. Another gateway
- * gets the length, to see whether the body is complete, and a header that says how it was delimited.
- */
-function frameBody(
-  response: http.ServerResponse,
-  {isSelfDelimited: framed, body}: TargetAnswer,
-  isForGateway: boolean,
-): void {
-  if (framed || isForGateway) response.setHeader('Content-Length', body.length);
-  else response.useChunkedEncodingByDefault = false;
-}
--- a/packages/gateway/src/targets/service_time_estimator.ts
+++ b/packages/gateway/src/targets/service_time_estimator.ts
@@ -28,7 +28,10 @@
   private shortestMs = 0;
   private hasAnswers = false;
   private lastTrialAtMs = Number.NEGATIVE_INFINITY;
+  /** Recent samples in order of their arrival, as a ring. */
   private readonly logSamples: number[] = [];
+  /** The same samples in ascending order. */
+  private readonly sortedLogSamples: number[] = [];
   private nextSampleIndex = 0;
   private cachedMs = initialCachedMs;
   private uncachedMs = initialUncachedMs;
@@ -41,8 +44,7 @@
   observe(serviceTimeMs: number, mayHaveWaited: boolean): void {
     this.meanMs = meanSmoothingFactor * this.meanMs + (1 - meanSmoothingFactor) * serviceTimeMs;
     if (mayHaveWaited) return;
-    this.logSamples[this.nextSampleIndex] = Math.log(Math.max(1, serviceTimeMs));
-    this.nextSampleIndex = (this.nextSampleIndex + 1) % maxSamples;
+    this.replaceOldestSample(Math.log(Math.max(1, serviceTimeMs)));
     this.updateEstimates();
   }
 
@@ -74,8 +76,23 @@
     return this.meanMs;
   }
 
+  private replaceOldestSample(logSample: number): void {
+    const oldest = this.logSamples[this.nextSampleIndex];
+    if (oldest !== undefined) {
+      this.sortedLogSamples.splice(this.sortedLogSamples.indexOf(oldest), 1);
+    }
+    this.logSamples[this.nextSampleIndex] = logSample;
+    this.nextSampleIndex = (this.nextSampleIndex + 1) % maxSamples;
+    const position = this.sortedLogSamples.findIndex(value => value > logSample);
+    this.sortedLogSamples.splice(
+      position < 0 ? this.sortedLogSamples.length : position,
+      0,
+      logSample,
+    );
+  }
+
   private updateEstimates(): void {
-    const {lower, upper} = splitIntoTwoGroups(this.logSamples);
+    const {lower, upper} = splitIntoTwoGroups(this.sortedLogSamples);
     if (upper - lower >= Math.log(minGroupRatio)) {
       this.cachedMs = Math.exp(lower);
       this.uncachedMs = Math.max(Math.exp(upper), this.uncachedMs * 0.98);
@@ -98,9 +115,8 @@
   readonly upper: number;
 }
 
-/** Splits the samples where the variance between the groups is largest (Otsu 1979), and returns the group means. */
-function splitIntoTwoGroups(samples: readonly number[]): GroupMeans {
-  const sorted = [...samples].sort((a, b) => a - b);
+/** Splits samples in ascending order where the variance between the groups is largest (Otsu 1979); returns the group means. */
+function splitIntoTwoGroups(sorted: readonly number[]): GroupMeans {
   const total = sorted.reduce((sum, value) => sum + value, 0);
   const mean = total / sorted.length;
   let best: GroupMeans = {lower: mean, upper: mean};
