--- a/scripts/play_days.mjs
+++ b/scripts/play_days.mjs
@@ -9,12 +9,12 @@
  *
  * Without `--cpu` the bench does not count processor time, so that a day mostly repeats. Seed 0 plays a day as it is written.
  */
-import {spawn} from 'node:child_process';
 import console from 'node:console';
 import {readFileSync, writeFileSync} from 'node:fs';
 import process from 'node:process';
 import {parseArgs} from 'node:util';
 import {mean, sampleStandardDeviation} from 'simple-statistics';
+import {buildProgram, partNames, playDay, runPool} from './bench_plays.mjs';
 
 const {values: options, positionals} = parseArgs({
   allowPositionals: true,
@@ -31,56 +31,18 @@
   },
 });
 
-const partNames = {
-  whole: 'whole day',
-  windows: 'worst windows',
-  kind: 'worst class',
-  domain: 'worst zone',
-  atAll: 'served at all',
-};
-
-function play(day, seed) {
-  const seedFlags = seed === '0' ? [] : ['--vary', '--seed', seed];
-  const cpuFlags = options.cpu ? [] : ['--no-cpu'];
-  const flags = [...seedFlags, ...cpuFlags, '--jobs', '1', '--why', options.why];
-  const child = spawn(options.bench, ['run', options.site, day, ...flags], {
-    cwd: options.repository,
-  });
-  let output = '';
-  child.stdout.on('data', chunk => (output += chunk));
-  child.stderr.on('data', chunk => (output += chunk));
-  return new Promise(resolve =>
-    child.once('exit', () => resolve({day, seed, ...readResult(output)})),
-  );
-}
-
-/** Reads worth, its parts and broken rules from the report of a day. */
-function readResult(output) {
-  const [, worth] = /^worth (-?[\d.]+) = /m.exec(output) ?? [];
-  const parts = Object.entries(partNames).map(([key, name]) => {
-    const [, value] = new RegExp(`${name} (-?[\\d.]+) \\(weight`).exec(output) ?? [];
-    return [key, Number(value)];
-  });
-  const [, broken] = /BROKEN: (.*)$/m.exec(output) ?? [];
-  return {worth: Number(worth), ...Object.fromEntries(parts), broken, output};
-}
-
 async function playAll() {
-  const plays = options.days
-    .split(',')
-    .flatMap(day => options.seeds.split(',').map(seed => ({day, seed})));
+  const {bench, site, repository, cpu, why} = options;
   const results = [];
-  const playNext = async () => {
-    for (let next = plays.shift(); next !== undefined; next = plays.shift()) {
-      const result = await play(next.day, next.seed);
+  const tasks = options.days.split(',').flatMap(day =>
+    options.seeds.split(',').map(seed => async () => {
+      const result = await playDay({bench, site, repository, day, seed, cpu, why});
       results.push(result);
-      console.log(`${result.day} ${result.seed}: ${result.worth} ${result.broken ?? ''}`);
-    }
-  };
-  // The first play builds the program; the others find it built.
-  const first = plays.shift();
-  results.push(await play(first.day, first.seed));
-  await Promise.all(Array.from({length: Number(options.jobs)}, playNext));
+      console.log(`${day} ${seed}: ${result.worth} ${result.broken ?? ''}`);
+    }),
+  );
+  buildProgram(bench, repository);
+  await runPool(tasks, Number(options.jobs));
   writeFileSync(options.out, JSON.stringify(results, null, 1));
   console.log(`mean ${mean(results.map(({worth}) => worth)).toFixed(3)}`);
 }
