--- a/packages/cli/src/run_cli.ts
+++ b/packages/cli/src/run_cli.ts
@@ -11,6 +11,7 @@
 import {registerExplain} from './commands/explain';
 import {registerGatewayCheck} from './commands/gateway_check';
 import {registerGatewayExplain} from './commands/gateway_explain';
+import {registerGatewayLosses} from './commands/gateway_losses';
 import {registerGatewayStatus} from './commands/gateway_status';
 import {registerIntentConfirm} from './commands/intent_confirm';
 import {registerIntentList} from './commands/intent_list';
@@ -60,7 +61,12 @@
   {
     name: 'gateway',
     description: "Explains and shows gateways on the users' platform.",
-    commands: [registerGatewayExplain, registerGatewayStatus, registerGatewayCheck],
+    commands: [
+      registerGatewayExplain,
+      registerGatewayLosses,
+      registerGatewayStatus,
+      registerGatewayCheck,
+    ],
   },
 ];
 
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -4,6 +4,8 @@
  */
 export type {LogOutput} from './logs/decision_log';
 export * from './logs/explain_request';
+export * from './logs/loss_reasons';
+export * from './logs/loss_report';
 export type {GatewayStatus} from './pages/status_page';
 export * from './gateway';
 export * from './gateway_ports';
--- a/packages/gateway/src/logs/decision_log.ts
+++ b/packages/gateway/src/logs/decision_log.ts
@@ -39,6 +39,8 @@
   readonly outcome: string;
   readonly status: number;
   readonly elapsedMs: number;
+  /** Target latency of the route, in milliseconds; left out without a route. */
+  readonly targetLatencyMs?: number;
   /** Logged when another gateway relays the request to this one. */
   readonly isRelayed?: boolean;
   /** Whether the gateway reaches targets itself. */
--- a/packages/gateway/src/requests/serve_request.ts
+++ b/packages/gateway/src/requests/serve_request.ts
@@ -255,6 +255,7 @@
       outcome: outcomeOf(answer),
       status: statusOf(answer),
       elapsedMs: Math.round(elapsedMs),
+      ...(this.route === undefined ? {} : {targetLatencyMs: this.route.targetLatencyMs}),
       ...(this.context.isRelayed ? {isRelayed: true} : {}),
       pathState: parts.paths.state,
       ...retryAfterOf(answer),
