--- a/packages/cli/__tests__/gateway_commands.test.ts
+++ b/packages/cli/__tests__/gateway_commands.test.ts
@@ -128,6 +128,30 @@
     exitCode: 2,
     stderr: 'missing.log',
   },
+  {
+    name: 'losses counts lost requests by reason',
+    args: () => ['gateway', 'losses', '--log', join(testDirectory, 'gateway.log')],
+    exitCode: 0,
+    stdout: ['1 logged requests; 0 lines were not written', 'unexplained         1      100'],
+  },
+  {
+    name: 'losses names a log that cannot be read',
+    args: () => ['gateway', 'losses', '--log', join(testDirectory, 'missing.log')],
+    exitCode: 2,
+    stderr: 'missing.log',
+  },
+  {
+    name: 'losses refuses a log without requests',
+    args: () => ['gateway', 'losses', '--log', join(testDirectory, 'wrong.json')],
+    exitCode: 1,
+    stderr: 'no lines about requests',
+  },
+  {
+    name: 'losses refuses a window without length',
+    args: () => ['gateway', 'losses', '--log', 'any', '--window-s', '0'],
+    exitCode: 2,
+    stderr: 'seconds above 0',
+  },
   {
     name: 'status shows ages, routes, targets and the remaining retry budget',
     args: () => ['gateway', 'status', statusAddress],
