--- a/scripts/ablations.mjs
+++ b/scripts/ablations.mjs
@@ -29,6 +29,17 @@
       },
     ],
   },
+  {
+    name: 'cost of an eviction as it is',
+    instead: 'twice the cost',
+    changes: [
+      {
+        file: placement,
+        find: 'const evictionCostFactor = 1;',
+        replace: 'const evictionCostFactor = 2;',
+      },
+    ],
+  },
   {
     name: 'cost of full targets',
     instead: 'none: an object moves to the target with the shortest time, full or not',
--- a/scripts/bench_plays.mjs
+++ b/scripts/bench_plays.mjs
@@ -1,5 +1,5 @@
 /** Plays days on the users' bench and reads their results from its report. */
-import {spawn, spawnSync} from 'node:child_process';
+import {spawn} from 'node:child_process';
 
 /** Keys of a result's parts, with their names in the report. */
 export const partNames = {
@@ -12,7 +12,8 @@
 
 /** Builds the program of a repository, so that plays do not build it at the same time. */
 export function buildProgram(bench, repository) {
-  return spawnSync(bench, ['build'], {cwd: repository}).status === 0;
+  const child = spawn(bench, ['build'], {cwd: repository, stdio: 'ignore'});
+  return new Promise(resolve => child.once('exit', code => resolve(code === 0)));
 }
 
 /** Plays one day; seed 0 plays it as it is written. Without `cpu` the bench does not count processor time. */
--- a/scripts/play_ablations.mjs
+++ b/scripts/play_ablations.mjs
@@ -6,7 +6,7 @@
  *   [--seeds N,...] [--jobs N] [--cpu] [--only NAME]
  */
 import console from 'node:console';
-import {cpSync, mkdirSync, readFileSync, rmSync, writeFileSync} from 'node:fs';
+import {cp, mkdir, readFile, rm, writeFile} from 'node:fs/promises';
 import {join} from 'node:path';
 import process from 'node:process';
 import {parseArgs} from 'node:util';
@@ -31,35 +31,40 @@
 const notCopied = new Set(['target', 'dist', 'coverage', '.cache']);
 const unchanged = {name: 'all mechanisms', instead: '', changes: []};
 
-function copyRepository(directory) {
-  rmSync(directory, {recursive: true, force: true});
-  mkdirSync(directory, {recursive: true});
-  cpSync('.', directory, {
+async function copyRepository(directory) {
+  await rm(directory, {recursive: true, force: true});
+  await mkdir(directory, {recursive: true});
+  await cp('.', directory, {
     recursive: true,
     verbatimSymlinks: true,
     preserveTimestamps: true,
     filter: source =>
-      !source.split('/').some(part => notCopied.has(part) && !source.includes('node_modules')),
+      source.includes('node_modules') || !source.split('/').some(part => notCopied.has(part)),
   });
 }
 
-function applyChange(directory, {file, find, replace}) {
+async function applyChange(directory, {file, find, replace}) {
   const path = join(directory, file);
-  const text = readFileSync(path, 'utf8');
+  const text = await readFile(path, 'utf8');
   if (!text.includes(find)) throw new Error(`${file} does not contain: ${find}`);
-  writeFileSync(path, text.replace(find, replace));
+  await writeFile(path, text.replace(find, replace));
 }
 
-function prepare(ablation, index) {
+async function prepare(ablation, index) {
   const repository = join(options.scratch, `ablation-${index}`);
-  copyRepository(repository);
-  for (const change of ablation.changes) applyChange(repository, change);
-  if (!buildProgram(options.bench, repository)) throw new Error(`${ablation.name} does not build`);
+  await copyRepository(repository);
+  for (const change of ablation.changes) await applyChange(repository, change);
+  const isBuilt = await buildProgram(options.bench, repository);
+  if (!isBuilt) throw new Error(`${ablation.name} does not build`);
   return {...ablation, repository, results: []};
 }
 
 const chosen = ablations.filter(({name}) => options.only === undefined || name === options.only);
-const variants = [unchanged, ...chosen].map(prepare);
+const variants = [];
+const preparations = [unchanged, ...chosen].map((ablation, index) => async () => {
+  variants[index] = await prepare(ablation, index);
+});
+await runPool(preparations, Number(options.jobs));
 const tasks = variants.flatMap(variant =>
   options.days.split(',').flatMap(day =>
     options.seeds.split(',').map(seed => async () => {
@@ -95,5 +100,5 @@
   };
 });
 console.table(rows);
-writeFileSync(options.out, JSON.stringify(variants, null, 1));
+await writeFile(options.out, JSON.stringify(variants, null, 1));
 process.exit(0);
--- a/scripts/play_days.mjs
+++ b/scripts/play_days.mjs
@@ -41,7 +41,7 @@
       console.log(`${day} ${seed}: ${result.worth} ${result.broken ?? ''}`);
     }),
   );
-  buildProgram(bench, repository);
+  await buildProgram(bench, repository);
   await runPool(tasks, Number(options.jobs));
   writeFileSync(options.out, JSON.stringify(results, null, 1));
   console.log(`mean ${mean(results.map(({worth}) => worth)).toFixed(3)}`);
