--- a/packages/gateway/__tests__/peer_table.test.ts
+++ b/packages/gateway/__tests__/peer_table.test.ts
@@ -35,6 +35,21 @@
     expect(table.listedGatewayCount()).toBe(3);
   });
 
+  /**
+   * Guards against a gateway that has just started and takes itself for the only one: it would plan for the callers of all
+   * regions, and send objects that its near targets hold to far ones.
+   */
+  test('takes regions for equal until the gateways are listed', () => {
+    const table = new PeerTable(record('own'), new ManualTime(), 3);
+    expect(table.ownRegionFraction()).toBeCloseTo(1 / 3);
+    const far = {...record('far'), region: 'b', failureDomain: 'b-1'};
+    const objects = [record('own'), far].map(content => {
+      return {name: content.name, revision: 1, content};
+    });
+    table.replace({objects, revision: 1});
+    expect(table.ownRegionFraction()).toBe(1 / 2);
+  });
+
   /** Guards against a gateway that is not told what the others know after it has started again. */
   test.each([
     ['the first heartbeat', [{}], true],
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -202,7 +202,7 @@
     const {name, region, regions, failureDomain, listen} = settings.value;
     const log = new DecisionLog(name, time, this.logOutput);
     const metrics = new GatewayMetrics();
-    const peers = new PeerTable(this.ownRecord, time);
+    const peers = new PeerTable(this.ownRecord, time, new Set(regions.values()).size);
     const poison = new PoisonTracker(new PoisonGuard(time), log, metrics);
     const paths = new TargetPaths(time);
     const connectionHistory = new ConnectionHistory(time);
--- a/packages/gateway/src/peers/peer_table.ts
+++ b/packages/gateway/src/peers/peer_table.ts
@@ -74,9 +74,11 @@
   /** Gateways of which a heartbeat was heard that has not been passed on. */
   private readonly heardNames = new Set<string>();
 
+  /** @param regionCount Number of regions of the deployment. */
   constructor(
     readonly ownRecord: GatewayRecord,
     private readonly time: TimeSource,
+    private readonly regionCount = 1,
   ) {}
 
   /** Replaces all records. */
@@ -218,9 +220,11 @@
 
   /**
    * Fraction of the listed gateways that are in this gateway's region; an estimate of the fraction of callers there,
-   * because gateways run close to callers.
+   * because gateways run close to callers. Before the first list, all regions count as equal: a gateway that took itself
+   * for the only one would send objects to far targets, which do not hold them.
    */
   ownRegionFraction(): number {
+    if (!this.hasList) return 1 / this.regionCount;
     const inRegion = this.otherGateways().filter(
       ({region}) => region === this.ownRecord.region,
     ).length;
