--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -55,6 +55,19 @@
       'max-lines-per-function': ['error', {max: 80, skipBlankLines: true, skipComments: true}],
     },
   },
+  {
+    // A folder that gateway_parts.ts puts together names what it needs in an interface of its own. Importing the parts there would
+    // make an import circle, and whoever takes one folder would need all.
+    files: [
+      'packages/gateway/src/{admission,key_lease,logs,peers,poison,quota,regional_shares,workspaces}/**/*.ts',
+    ],
+    rules: {
+      'no-restricted-imports': [
+        'error',
+        {patterns: [{group: ['**/gateway_parts', '**/gateway', '**/pages/*']}]},
+      ],
+    },
+  },
   {
     files: ['scripts/**/*.mjs'],
     languageOptions: {globals: {console: 'readonly', process: 'readonly', URL: 'readonly'}},
--- a/packages/gateway/__fixtures__/quota_model.ts
+++ b/packages/gateway/__fixtures__/quota_model.ts
@@ -4,7 +4,7 @@
 import type {QuotaBounds, RequestQuota} from '../src/gateway_types';
 import {QuotaOwner} from '../src/quota/quota_owner';
 import {QuotaShares} from '../src/quota/quota_shares';
-import type {QuotaVerdict} from '../src/quota/quotas';
+import type {QuotaVerdict} from '../src/quota/quota_verdict';
 
 /** A schedule; functions of time get milliseconds since the start. */
 export interface QuotaSchedule {
--- a/packages/gateway/src/admission/admit_request.ts
+++ b/packages/gateway/src/admission/admit_request.ts
@@ -1,7 +1,8 @@
 /** Admits the requests of a gateway: by rank and workspace where the configuration has workspaces, else each one alone. */
+import type {TimeSource} from '@cuminsill/utils';
 import type {ForwardedRequest} from '../forwarding/forwarded_request';
-import type {GatewayParts} from '../gateway_parts';
 import type {RouteRule, WorkspaceRule} from '../gateway_types';
+import type {ConfigurationView} from '../store/configuration_view';
 import type {Admission, AdmissionInput} from './admit';
 import {admit} from './admit';
 import {ServiceAdmission} from './service_admission';
@@ -32,12 +33,19 @@
   }
 }
 
+/** What admission needs of a gateway. */
+export interface AdmissionPorts {
+  readonly admissions: ServiceAdmissions;
+  readonly configuration: Pick<ConfigurationView, 'workspaces'>;
+  readonly time: TimeSource;
+}
+
 /**
  * Decides whether a request is sent to the target that was chosen for it.
  * @param isRetry True for a further attempt, which is no new demand and has had its admission.
  */
 export function admitRequest(
-  {admissions, configuration, time}: GatewayParts,
+  {admissions, configuration, time}: AdmissionPorts,
   {route, service, workspace}: ForwardedRequest,
   input: AdmissionInput,
   isRetry: boolean,
--- a/packages/gateway/src/key_lease/make_key_lease.ts
+++ b/packages/gateway/src/key_lease/make_key_lease.ts
@@ -2,11 +2,14 @@
 import {randomUUID} from 'node:crypto';
 import type {TimeSource} from '@cuminsill/utils';
 import {Effect} from 'effect';
-import type {GatewayParts} from '../gateway_parts';
+import type {CurrentSettings} from '../gateway_settings';
 import type {GatewayRecord} from '../gateway_types';
+import type {CoordinationChannel} from '../peers/coordination_channel';
+import type {PeerTable} from '../peers/peer_table';
+import type {ConfigurationView} from '../store/configuration_view';
 import type {ObjectFeed} from '../store/object_feed';
 import {ElapsedClock} from './elapsed_clock';
-import type {LeaseEnvironment, ReadResult} from './strict_key_lease';
+import type {EvidenceResult, LeaseEnvironment, ReadResult} from './strict_key_lease';
 import {StrictKeyLease} from './strict_key_lease';
 
 /** Feature of gateways that supply evidence to others. */
@@ -21,13 +24,23 @@
   stop(): void;
 }
 
+/** What the lease needs of a gateway. */
+export interface LeasePorts {
+  readonly settings: CurrentSettings;
+  readonly configuration: Pick<ConfigurationView, 'workspaces' | 'accountedVersion'>;
+  readonly coordination: CoordinationChannel;
+  readonly peers: Pick<PeerTable, 'livePeers'>;
+  readonly metrics: {keyEvidence(result: EvidenceResult): void};
+  readonly log: {event(line: 'lease', fields: Readonly<Record<string, unknown>>): void};
+}
+
 /** The part of the configuration's feed that the lease uses. */
 type ConfigurationFeed = Pick<ObjectFeed<unknown>, 'confirm' | 'state'>;
 
 /** Makes the lease of a gateway. The parts and the feed are asked for only after `start`. */
 export function makeKeyLease(
   time: TimeSource,
-  parts: () => GatewayParts,
+  parts: () => LeasePorts,
   feed: () => ConfigurationFeed | undefined,
 ): RunningKeyLease {
   const lease = new StrictKeyLease(
@@ -45,7 +58,7 @@
   });
 }
 
-function handleMessages(lease: StrictKeyLease, {coordination}: GatewayParts): void {
+function handleMessages(lease: StrictKeyLease, {coordination}: LeasePorts): void {
   coordination.handle(queryKind, ({fields, reply}) => {
     const answer = lease.answerQuery(fields);
     if (answer !== undefined) reply(evidenceKind, answer);
@@ -56,7 +69,7 @@
 }
 
 function makeEnvironment(
-  parts: () => GatewayParts,
+  parts: () => LeasePorts,
   feed: () => ConfigurationFeed | undefined,
 ): LeaseEnvironment {
   return {
@@ -77,7 +90,7 @@
   };
 }
 
-function leasePeers({peers}: GatewayParts): readonly GatewayRecord[] {
+function leasePeers({peers}: LeasePorts): readonly GatewayRecord[] {
   return peers.livePeers().filter(({features}) => features?.includes(leaseFeature) === true);
 }
 
--- a/packages/gateway/src/pages/gateway_pages.ts
+++ b/packages/gateway/src/pages/gateway_pages.ts
@@ -4,7 +4,8 @@
 import type {LookupWire} from './lookup_wire';
 import type {FeedState} from '../store/object_feed';
 import {PageServer} from './page_server';
-import {countTargets, renderStatusPage} from './status_page';
+import {countTargets} from '../targets/target_state';
+import {renderStatusPage} from './status_page';
 
 /** One server for each listen address. */
 export interface GatewayPages {
@@ -56,7 +57,8 @@
 
 function metricsPages(parts: GatewayParts, state: PageState): PageServer {
   const metrics = async () => {
-    parts.metrics.setTargetCounts(countTargets(parts));
+    const {metrics, targets, evacuations, time} = parts;
+    metrics.setTargetCounts(countTargets(targets.all(), evacuations, time.monotonicMs()));
     parts.metrics.setGatewayCounts({
       listed: parts.peers.listedGatewayCount(),
       alive: parts.peers.activeGatewayNames().length,
--- a/packages/gateway/src/pages/status_page.ts
+++ b/packages/gateway/src/pages/status_page.ts
@@ -7,6 +7,7 @@
 import type {QuotaStatus} from '../quota';
 import type {RetryStatus} from '../forwarding/retry_budget';
 import type {Target} from '../targets/target';
+import {targetState} from '../targets/target_state';
 
 /** JSON content of the status page. */
 export interface GatewayStatus {
@@ -38,13 +39,6 @@
   readonly slowness: number;
 }
 
-/** Number of targets of a service in one state. */
-export interface TargetCount {
-  readonly service: string;
-  readonly state: string;
-  readonly count: number;
-}
-
 /** Returns the page as JSON text. */
 export function renderStatusPage(parts: GatewayParts, feeds: readonly FeedState[]): string {
   const nowMs = parts.time.monotonicMs();
@@ -72,34 +66,10 @@
     service: target.service,
     address: `${target.address.host}:${target.address.port}`,
     failureDomain: target.failureDomain,
-    state: targetState(parts, target, nowMs),
+    state: targetState(target, parts.evacuations, nowMs),
     inFlight: target.load.inFlight,
     estimatedLoad: Number(target.load.estimateRequests(nowMs, workMs).toFixed(2)),
     failureRate: Number(target.health.failureRate(nowMs).toFixed(2)),
     slowness: Number(target.health.slowness(nowMs).toFixed(2)),
   };
 }
-
-/** Returns `usable`, or the reason why the target is not used. */
-export function targetState(parts: GatewayParts, target: Target, nowMs: number): string {
-  if (target.isLeaving) return 'draining';
-  if (!target.isAssignable) return 'wrong address';
-  if (parts.evacuations.evacuatedDomains.has(target.failureDomain)) return 'evacuated';
-  if (target.health.reachability !== 'reachable') return target.health.reachability;
-  if (target.directives.pauseLeftMs(nowMs) > 0) return 'paused';
-  if (target.directives.rateLimiter.requestsPerS !== undefined) return 'limited';
-  return target.isCold(nowMs) ? 'cold' : 'usable';
-}
-
-/** Counts the targets of each service by state. */
-export function countTargets(parts: GatewayParts): readonly TargetCount[] {
-  const nowMs = parts.time.monotonicMs();
-  const counts = new Map<string, TargetCount>();
-  for (const target of parts.targets.all()) {
-    const {service} = target;
-    const state = targetState(parts, target, nowMs);
-    const key = `${service} ${state}`;
-    counts.set(key, {service, state, count: (counts.get(key)?.count ?? 0) + 1});
-  }
-  return [...counts.values()];
-}
--- a/packages/gateway/src/quota/quota_share.ts
+++ b/packages/gateway/src/quota/quota_share.ts
@@ -3,7 +3,7 @@
  * grant. No request runs without a token: with 88 gateways, one free request of each would exceed the bound of a workspace of a
  * few requests a second, whose callers a gateway sees every half minute. A wait takes one round trip, at most 110 ms.
  */
-import type {QuotaVerdict} from './quotas';
+import type {QuotaVerdict} from './quota_verdict';
 import type {Instant} from './pause_detector';
 import {elapsedMs} from './pause_detector';
 import type {QuotaGrant, QuotaReport} from './quota_messages';
--- a/packages/gateway/src/quota/quota_shares.ts
+++ b/packages/gateway/src/quota/quota_shares.ts
@@ -11,7 +11,7 @@
 import {presumedDeadAgeMs, skipOwnerMs} from './quota_rules';
 import type {WaitingRequest} from './quota_share';
 import {QuotaShare} from './quota_share';
-import type {QuotaVerdict} from './quotas';
+import type {QuotaVerdict} from './quota_verdict';
 
 /** Events of the shares that are logged. */
 export interface QuotaShareListener {
--- a/packages/gateway/src/quota/quotas.ts
+++ b/packages/gateway/src/quota/quotas.ts
@@ -2,10 +2,7 @@
 import {Effect} from 'effect';
 import type {OwnedStatus} from './quota_owner';
 import type {ShareStatus} from './quota_shares';
-
-/** Whether a request is within its workspace's quota. */
-export type QuotaVerdict =
-  {readonly kind: 'within'} | {readonly kind: 'exceeded'; readonly retryAfterMs: number};
+import type {QuotaVerdict} from './quota_verdict';
 
 /** The quotas on the status page. */
 export interface QuotaStatus {
--- a/packages/gateway/src/quota/shared_quotas.ts
+++ b/packages/gateway/src/quota/shared_quotas.ts
@@ -23,7 +23,8 @@
 } from './quota_messages';
 import {QuotaOwner} from './quota_owner';
 import {QuotaShares} from './quota_shares';
-import type {Quotas, QuotaStatus, QuotaVerdict} from './quotas';
+import type {QuotaVerdict} from './quota_verdict';
+import type {Quotas, QuotaStatus} from './quotas';
 
 const tickMs = 50;
 
--- a/packages/gateway/src/requests/serve_request.ts
+++ b/packages/gateway/src/requests/serve_request.ts
@@ -16,8 +16,8 @@
 import {fingerprintOf, identityOf} from './request_fingerprint';
 import type {CallerHead} from './request_wire';
 import type {RouteTable} from './route_table';
-import {targetState} from '../pages/status_page';
 import type {Target} from '../targets/target';
+import {targetState} from '../targets/target_state';
 
 /** Reserved for the way of the answer back, so that it reaches the caller before the caller's deadline. */
 const returnReserveMs = 15;
@@ -244,7 +244,7 @@
     const {parts, result, service} = this;
     const targets = service === undefined ? [] : parts.targets.ofService(service);
     const nowMs = parts.time.monotonicMs();
-    const isUsable = (target: Target) => targetState(parts, target, nowMs) === 'usable';
+    const isUsable = (target: Target) => targetState(target, parts.evacuations, nowMs) === 'usable';
     return {
       requestId: this.head.requestId ?? 'none',
       route: this.route?.name ?? 'none',
