--- a/review/lib/harness.mjs
+++ b/review/lib/harness.mjs
@@ -155,6 +155,12 @@
 export async function runCase(folder, body) {
   const current = new Case(folder);
   let code = exitCodes.couldNotRun;
+  for (const signal of ['SIGTERM', 'SIGINT']) {
+    process.once(signal, () => {
+      current.note(`ended by ${signal}`);
+      void current.end().then(() => process.exit(exitCodes.couldNotRun));
+    });
+  }
   try {
     const isBroken = await body(current);
     current.note(isBroken ? 'verdict: the rule was broken' : 'verdict: the rule held');
