--- a/review/lib/harness.mjs
+++ b/review/lib/harness.mjs
@@ -76,7 +76,10 @@
   }
 
   /** Starts a gateway process on a loopback address of its own and waits until it is ready. */
-  async startGateway(name, host, {zone = 'a-1', zones = {'a-1': 'a'}, boundChanges = {}} = {}) {
+  async startGateway(name, host, options = {}) {
+    const {zone = 'a-1', zones = {'a-1': 'a'}, boundChanges = {}} = options;
+    /** A proxy of the case may stand before the store. */
+    const {storePort = this.storePort} = options;
     const ports = await standins.findFreePorts(host, 4);
     const [front, ready, directory, peer] = ports;
     const fields = {
@@ -92,7 +95,7 @@
         directory: `${host}:${directory}`,
       },
       bounds: {...bounds, ...boundChanges},
-      platform: {address: `127.0.0.1:${this.storePort}`},
+      platform: {address: `127.0.0.1:${storePort}`},
     };
     const template = readFileSync(join(root, 'platform/gateway_settings.json.template'), 'utf8');
     const settingsFile = join(this.directory, `${name}.json`);
