End an exchange whose answer is malformed as lost

Callers saw their connections close without an answer while their requests were at sound targets (LOST), and the gateway processes ended by themselves (Fault).

Cause: Node's parser of answers accepts control characters in a reason phrase, a status below 100 and a header without a name; its writer throws for them. The gateway judged an answer by its id and its stamp alone, so it passed such bytes on, and the exception of writeHead ended the process with all its requests.

Change: the head of each answer, of a target or of a relay, is checked against the grammar of HTTP before it is judged. A malformed one ends the exchange as lost, as for other bytes that are no answer.

--- a/packages/gateway/src/forwarding/target_exchange.ts
+++ b/packages/gateway/src/forwarding/target_exchange.ts
@@ -9,6 +9,7 @@
 import type {Socket} from 'node:net';
 import type {SocketAddress} from '@cuminsill/types';
 import type {TimeSource} from '@cuminsill/utils';
+import {areHeadersValid, isFinalStatus, isHeaderText} from '@cuminsill/utils';
 import {Effect} from 'effect';
 import type {CallerRequest} from '../requests/caller_request';
 import {endToEndHeaders} from '../requests/end_to_end_headers';
@@ -201,7 +202,9 @@
     firstByteMs: number,
     answeredEarly: boolean,
   ): void {
-    const end = this.exchange.classify({response, body, firstByteMs});
+    const end = isWellFormed(response)
+      ? this.exchange.classify({response, body, firstByteMs})
+      : lostResponse('malformed head');
     const reportedEnd = end.kind === 'lost' ? this.lostEnd(end.detail) : end;
     if (answeredEarly || reportedEnd.kind === 'lost') this.abort(reportedEnd);
     else {
@@ -236,6 +239,12 @@
   return {kind: 'unsent', detail};
 }
 
+/** False for a head that the parser accepts although it breaks the grammar of HTTP: such bytes are no answer. */
+function isWellFormed({statusCode, statusMessage, rawHeaders}: http.IncomingMessage): boolean {
+  if (!isFinalStatus(statusCode ?? 0) || !isHeaderText(statusMessage ?? '')) return false;
+  return areHeadersValid(rawHeaders);
+}
+
 /** Returns the response as an answer. */
 export function answerOf({response, body}: CompleteResponse, head: TargetHead): TargetAnswer {
   const {rawHeaders, headers} = response;
--- a/packages/standins/src/users_platform/endpoint_server.ts
+++ b/packages/standins/src/users_platform/endpoint_server.ts
@@ -25,6 +25,8 @@
   | 'extra'
   /** Rejects the request before its body has arrived and keeps the connection open. */
   | 'early'
+  /** Runs the request and sends its answer as `rewriteAnswer` changes it. */
+  | 'rewritten'
   /** Runs the request and sends a head without end, until the caller closes the connection. */
   | 'endless-head'
   /** Runs the request and sends a body without end, until the caller closes the connection. */
@@ -78,6 +80,8 @@
   leaving = false;
   /** `Retry-After` of rejections with status 503; the endpoint takes requests all the same. */
   retryAfter: string | undefined;
+  /** Changes the bytes of answers in the mode `rewritten`; each character stands for one byte. */
+  rewriteAnswer: (answer: string) => string = answer => answer;
   draining = false;
   /** Requests that started to run, in order. */
   readonly executedRequests: ExecutedRequest[] = [];
@@ -99,6 +103,7 @@
     'unframed-cut': answer => answer.sendUnframedCutAnswer(),
     extra: answer => answer.sendAnswerTwice(),
     early: answer => answer.reject(503),
+    rewritten: answer => answer.sendRewritten(this.rewriteAnswer),
     'endless-head': answer => answer.sendEndless('HTTP/1.1 200 OK\r\n', 'Filler: x\r\n'),
     'endless-body': answer => answer.sendEndless(answer.rawResponseHead('Connection: close'), 'x'),
   };
@@ -287,10 +292,14 @@
     writeOn();
   }
 
+  sendRewritten(rewrite: (answer: string) => string): void {
+    this.notifyAnswered(200);
+    this.socket.write(rewrite(this.rawAnswer()), 'latin1');
+  }
+
   sendAnswerTwice(): void {
     this.notifyAnswered(200);
-    const body = this.body();
-    const whole = `${this.rawResponseHead(`Content-Length: ${body.length}`)}${body}`;
+    const whole = this.rawAnswer();
     this.socket.write(whole);
     setTimeout(() => this.socket.write(whole), 5);
   }
@@ -303,6 +312,11 @@
     return this.endpoint.options.bodyOf?.(this.requestId()) ?? defaultBody;
   }
 
+  private rawAnswer(): string {
+    const body = this.body();
+    return `${this.rawResponseHead(`Content-Length: ${body.length}`)}${body}`;
+  }
+
   rawResponseHead(framing: string): string {
     const lines = Object.entries(this.headers()).map(([name, value]) => `${name}: ${value}`);
     return ['HTTP/1.1 200 OK', ...lines, framing, '', ''].join('\r\n');
--- a/packages/utils/src/index.ts
+++ b/packages/utils/src/index.ts
@@ -1,5 +1,6 @@
 /** General-purpose helpers that do not depend on traffic steering. */
 export * from './hop_by_hop_headers';
+export * from './http_syntax';
 export * from './event_queue';
 export * from './hash';
 export * from './json_fields';
