Bound an exception to the request, answer or feed that it concerns

Cause: observers of fibers, events of exchanges and the writing of answers had no handler; a defect in a fiber closed the caller's connection, with the other requests on it, and left its target's count of requests in flight too high for good; a defect in a feed ended the feed silently; the process had no handler of last resort.

Change: each exception is caught where it concerns the fewest requests, logged as `defect` with its place and counted. The request gets 5021 (internal-error, 500), which says nothing of whether it ran; an answer that cannot be written is replaced by it; a feed lists again; the process goes on. The count of requests in flight is released in each case.

--- a/packages/gateway/__tests__/object_feed.test.ts
+++ b/packages/gateway/__tests__/object_feed.test.ts
@@ -47,6 +47,7 @@
     apply: ({revision}: ObjectChanges<string>) => events.push(`apply ${revision}`),
     onConnected: () => events.push('regained'),
     onDisconnected: () => events.push('lost'),
+    onDefect: error => events.push(String(error)),
   };
   return {sink, events};
 }
@@ -244,3 +245,25 @@
   expect(events).toEqual(testCase.events);
   expect(lists).toBe(testCase.listCount);
 });
+
+/** Guards against a feed that ends for good when its sink fails at one odd object, so that later changes are missed. */
+test('lists again after an exception of the sink', async () => {
+  const {source, calls} = scriptedSource([5, 6, 8]);
+  const {sink, events} = recordingSink();
+  const failingSink: FeedSink<string> = {
+    ...sink,
+    apply: () => {
+      throw new Error('odd object');
+    },
+  };
+  const timing = () => ({maxWaitMs, answerTimeoutMs: 1, listTimeoutMs: 1, minIntervalMs: 1});
+  const feed = new ObjectFeed(source, timing, failingSink, new ManualTime(), () => 1);
+  const steps = Effect.gen(function* () {
+    const fiber = yield* Effect.fork(Effect.forEach(Array(3), () => feed.pollOnce()));
+    yield* TestClock.adjust('1 minute');
+    yield* Fiber.join(fiber);
+  });
+  await Effect.runPromise(Effect.provide(steps, TestContext.TestContext));
+  expect(calls).toEqual(['list', 'after 5', 'list']);
+  expect(events).toEqual(['regained', 'replace 5', 'Error: odd object', 'replace 8']);
+});
--- a/packages/gateway/__tests__/store_circuit.test.ts
+++ b/packages/gateway/__tests__/store_circuit.test.ts
@@ -47,6 +47,7 @@
     apply: () => undefined,
     onConnected: () => undefined,
     onDisconnected: () => undefined,
+    onDefect: () => undefined,
   };
   const pass = (seconds: number) =>
     Effect.forEach(Array.from({length: seconds * 10}), () => {
--- a/packages/gateway/src/forwarding/forwarding.ts
+++ b/packages/gateway/src/forwarding/forwarding.ts
@@ -4,7 +4,7 @@
  * wins. An at-most-once request is sent to another target only if no target can have run it.
  */
 import {hash32} from '@cuminsill/utils';
-import {Effect, Fiber} from 'effect';
+import {Effect, Exit, Fiber} from 'effect';
 import type {AdmissionRecord} from '../admission';
 import {admitRequest} from '../admission';
 import {AttemptRecord, relayedOrOutcomeUnknown} from './attempt_record';
@@ -17,7 +17,7 @@
 import type {PlannedHedge} from './hedge_planner';
 import {HedgePlanner} from './hedge_planner';
 import {RequestPlacement} from './request_placement';
-import type {ExchangeEnd} from './target_exchange';
+import type {Exchange, ExchangeEnd} from './target_exchange';
 import {classifyResponse, exchangeWithTarget} from './target_exchange';
 import {defaultRetryAfterMs, usableAgainAfterMs} from './usable_again';
 import {headersReplacedForTargets, keyRefusal} from './request_credentials';
@@ -332,48 +332,55 @@
       target.directives.rateLimiter.recordSend(startedAtMs);
       if (target.isCold(startedAtMs)) target.coldLimiter.recordSend(startedAtMs);
       const elapsedMs = () => parts.time.monotonicMs() - startedAtMs;
-      const remainingMs = Math.floor(this.remainingMs());
       parts.paths.recordSend();
-      return exchangeWithTarget({
-        request: forwarded.request,
-        receiver: target,
-        addedHeaders: parts.requestWire.targetHeaders({
-          targetId: target.id,
-          remainingMs,
-          workspace: forwarded.workspace?.name,
-        }),
-        replacedHeaders: headersReplacedForTargets(parts),
-        classify: response => classifyResponse(response, forwarded.request, parts.requestWire),
-        connections: parts.connections,
-        time: parts.time,
-        remainingMs,
-        connectTimeoutMs: parts.roundTripTimes.expectedMs(target.failureDomain) + connectMarginMs,
-        isAtMostOnce: forwarded.route.repeat === 'at-most-once',
-        onConnected: (socket, connectMs) => {
-          parts.paths.recordSuccess();
-          parts.roundTripTimes.observe(target.failureDomain, connectMs);
-          parts.connectionHistory.onOpened(target.id, socket);
-        },
-      }).pipe(
+      return Effect.suspend(() => exchangeWithTarget(this.exchangeParameters(target))).pipe(
         Effect.tap(end =>
           Effect.sync(() => this.recordEnd({...attempt, end, elapsedMs: elapsedMs()})),
         ),
+        Effect.onExit(exit => {
+          // In each case, an exception included: a request counted for good would make the target seem full.
+          target.load.recordEnd();
+          if (Exit.isFailure(exit)) record.recordCancel(target.id, elapsedMs());
+          return Effect.void;
+        }),
         Effect.onInterrupt(() =>
-          Effect.sync(() => {
-            target.load.recordEnd();
-            record.recordCancel(target.id, elapsedMs());
-            recordExchangeCancel(parts, placement, startedAtMs);
-          }),
+          Effect.sync(() => recordExchangeCancel(parts, placement, startedAtMs)),
         ),
       );
     });
   }
 
+  private exchangeParameters(target: Target): Exchange {
+    const {parts, forwarded} = this;
+    const {failureDomain} = target;
+    const remainingMs = Math.floor(this.remainingMs());
+    return {
+      request: forwarded.request,
+      receiver: target,
+      addedHeaders: parts.requestWire.targetHeaders({
+        targetId: target.id,
+        remainingMs,
+        workspace: forwarded.workspace?.name,
+      }),
+      replacedHeaders: headersReplacedForTargets(parts),
+      classify: response => classifyResponse(response, forwarded.request, parts.requestWire),
+      connections: parts.connections,
+      time: parts.time,
+      remainingMs,
+      connectTimeoutMs: parts.roundTripTimes.expectedMs(failureDomain) + connectMarginMs,
+      isAtMostOnce: forwarded.route.repeat === 'at-most-once',
+      onConnected: (socket, connectMs) => {
+        parts.paths.recordSuccess();
+        parts.roundTripTimes.observe(failureDomain, connectMs);
+        parts.connectionHistory.onOpened(target.id, socket);
+      },
+    };
+  }
+
   private recordEnd(attempt: EndedAttempt): void {
     const {parts, forwarded, record} = this;
     const {placement, end, elapsedMs} = attempt;
     recordExchangeEnd(parts, forwarded, attempt);
-    placement.target.load.recordEnd();
     const isHeld = forwarded.request.head.objectKey === undefined ? undefined : placement.isHeld;
     record.recordEnd(placement.target.id, end, elapsedMs, isHeld);
   }
--- a/packages/gateway/src/forwarding/relay_attempts.ts
+++ b/packages/gateway/src/forwarding/relay_attempts.ts
@@ -1,5 +1,5 @@
 /** The attempts of one request at gateways that may relay it. */
-import {Effect} from 'effect';
+import {Effect, Exit} from 'effect';
 import type {AttemptRecord} from './attempt_record';
 import type {ForwardedRequest} from './forwarded_request';
 import type {GatewayParts} from '../gateway_parts';
@@ -43,7 +43,10 @@
       record.recordStart(relay.name);
       return exchangeWithRelay(parts, forwarded, relay, remainingMs).pipe(
         Effect.tap(end => Effect.sync(() => record.recordEnd(relay.name, end, elapsedMs()))),
-        Effect.onInterrupt(() => Effect.sync(() => record.recordCancel(relay.name, elapsedMs()))),
+        Effect.onExit(exit => {
+          if (Exit.isFailure(exit)) record.recordCancel(relay.name, elapsedMs());
+          return Effect.void;
+        }),
       );
     });
   }
--- a/packages/gateway/src/forwarding/target_exchange.ts
+++ b/packages/gateway/src/forwarding/target_exchange.ts
@@ -84,12 +84,21 @@
 /** Runs the exchange. Interruption closes the connection, which cancels the request at the target. */
 export function exchangeWithTarget(exchange: Exchange): Effect.Effect<ExchangeEnd> {
   return Effect.async<ExchangeEnd>(resume => {
-    const running = new RunningExchange(exchange, end => resume(Effect.succeed(end)));
+    const running = new RunningExchange(exchange, {
+      onEnd: end => resume(Effect.succeed(end)),
+      onDefect: error => resume(Effect.die(error)),
+    });
     running.start();
     return Effect.sync(() => running.cancel());
   });
 }
 
+interface ExchangeObserver {
+  onEnd(end: ExchangeEnd): void;
+  /** Called when an exception has ended the exchange. */
+  onDefect(error: unknown): void;
+}
+
 class RunningExchange {
   private readonly outgoing: http.ClientRequest;
   private readonly startedAtMs: number;
@@ -100,7 +109,7 @@
 
   constructor(
     private readonly exchange: Exchange,
-    private readonly onEnd: (end: ExchangeEnd) => void,
+    private readonly observer: ExchangeObserver,
   ) {
     this.startedAtMs = exchange.time.monotonicMs();
     if (exchange.isAtMostOnce) this.closeStaleConnections();
@@ -113,8 +122,8 @@
 
   start(): void {
     const {outgoing} = this;
-    outgoing.on('socket', socket => this.onSocket(socket));
-    outgoing.on('response', response => this.onResponse(response));
+    outgoing.on('socket', socket => this.guard(() => this.onSocket(socket)));
+    outgoing.on('response', response => this.guard(() => this.onResponse(response)));
     outgoing.on('error', error => this.onError(error));
     outgoing.on('close', () => this.onError(new Error('closed')));
     outgoing.end(this.exchange.request.body);
@@ -165,11 +174,13 @@
       () => this.abort(unsentEnd('connect timeout')),
       this.exchange.connectTimeoutMs,
     );
-    socket.once('connect', () => {
-      clearTimeout(this.connectTimer);
-      this.isConnected = true;
-      this.exchange.onConnected(socket, this.exchange.time.monotonicMs() - this.startedAtMs);
-    });
+    socket.once('connect', () => this.guard(() => this.onConnected(socket)));
+  }
+
+  private onConnected(socket: Socket): void {
+    clearTimeout(this.connectTimer);
+    this.isConnected = true;
+    this.exchange.onConnected(socket, this.exchange.time.monotonicMs() - this.startedAtMs);
   }
 
   private onError(error: Error): void {
@@ -192,7 +203,10 @@
     response.on('end', () => {
       if (this.hasEnded) return;
       if (!response.complete) this.onError(new Error('answer broke off'));
-      else this.onComplete(response, Buffer.concat(chunks), firstByteMs, isEarlyAnswer);
+      else {
+        const body = Buffer.concat(chunks);
+        this.guard(() => this.onComplete(response, body, firstByteMs, isEarlyAnswer));
+      }
     });
   }
 
@@ -209,7 +223,17 @@
     if (answeredEarly || reportedEnd.kind === 'lost') this.abort(reportedEnd);
     else {
       this.finish();
-      this.onEnd(reportedEnd);
+      this.observer.onEnd(reportedEnd);
+    }
+  }
+
+  /** Runs the handler of an event. An exception in it ends this exchange, not the process. */
+  private guard(handle: () => void): void {
+    try {
+      handle();
+    } catch (error) {
+      this.cancel();
+      this.observer.onDefect(error);
     }
   }
 
@@ -223,7 +247,7 @@
     // At the end of its response, a destroyed request would still return its connection for reuse.
     this.outgoing.socket?.destroy();
     this.outgoing.destroy();
-    this.onEnd(end);
+    this.observer.onEnd(end);
   }
 
   private finish(): void {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -17,6 +17,7 @@
 import {ConfigurationView} from './store/configuration_view';
 import type {LogOutput} from './logs/decision_log';
 import {DecisionLog} from './logs/decision_log';
+import {Defects} from './logs/defects';
 import type {Dial} from './targets/dial';
 import {EvacuationView} from './targets/evacuation_view';
 import {makeFeeds} from './store/gateway_feeds';
@@ -33,6 +34,7 @@
 import {makeKeyLease} from './key_lease';
 import type {Quotas} from './quota';
 import {SharedQuotas, unlimitedQuotas} from './quota';
+import {HeartbeatReceiver} from './peers/heartbeat_receiver';
 import {MembershipLog} from './peers/membership_log';
 import type {FeedState, ObjectFeed} from './store/object_feed';
 import {RegionalShares} from './regional_shares';
@@ -82,8 +84,6 @@
   private fibers: readonly Fiber.RuntimeFiber<unknown, unknown>[] = [];
   private peerState: PeerState = 'starting';
   private heartbeatSequence = 0;
-  /** Start of the process of each gateway whose heartbeats were read only in part. */
-  private readonly partlyReadSenders = new Map<string, number>();
   private readonly startedAtMs: number;
 
   constructor(
@@ -175,6 +175,11 @@
     this.parts.log.event('reload', {outcome: 'settings not used', reason});
   }
 
+  /** Records an exception that no part of the gateway has caught. The gateway goes on: ending it would end all its requests. */
+  recordDefect(error: unknown): void {
+    this.parts.defects.record('process', error);
+  }
+
   private waitUntilIdle(endMs: number): Effect.Effect<void> {
     return Effect.gen(this, function* () {
       while (!this.callerServer.isDrained && this.time.monotonicMs() < endMs) {
@@ -255,6 +260,7 @@
       quotas: this.makeQuotas({peers, coordination, log, metrics}),
       admissions: new ServiceAdmissions(),
       log,
+      defects: new Defects(log, metrics),
       metrics,
       storeAgeMs: () => this.storeAgeMs(),
     };
@@ -323,38 +329,20 @@
 
   private makePeerExchange(): PeerExchange {
     const {parts} = this;
+    const receiver = new HeartbeatReceiver(parts, () => this.peerExchange.spreadAllAgain());
     return new PeerExchange(this.settings.value.listen.peers, {
       nextHeartbeat: () => this.nextHeartbeat(),
       nextReceivers: () =>
         chooseReceivers(parts.peers.otherGateways(), this.ownRecord, Math.random).map(
           ({peerAddress}) => peerAddress,
         ),
-      onHeartbeat: message => {
-        this.reportUnreadableEntries(message);
-        const isNewSender = parts.peers.recordHeartbeat(message);
-        const isNewRelayed = parts.peers.recordRelayed(message.relayed);
-        if (isNewSender || isNewRelayed) this.peerExchange.spreadAllAgain();
-        parts.poison.mergeSuspicions(message.suspicions, message.name);
-        parts.poison.mergeAnswers(message.answers, message.name);
-      },
+      onHeartbeat: message => receiver.receive(message),
       onSuspicionsLeftOut: count => parts.metrics.addSuspicionsLeftOut(count),
       onCoordination: (fields, from) => parts.coordination.receive(fields, from),
       onUnreadable: from => parts.log.event('peer', {event: 'unreadable heartbeat', from}),
     });
   }
 
-  /** Logs once per process of a sender that its heartbeats hold entries which this build cannot read. */
-  private reportUnreadableEntries({name, startedAtMs, unreadableEntries}: PeerMessage): void {
-    if (unreadableEntries === undefined || this.parts.peers.findGateway(name) === undefined) return;
-    if (this.partlyReadSenders.get(name) === startedAtMs) return;
-    this.partlyReadSenders.set(name, startedAtMs);
-    this.parts.log.event('peer', {
-      event: 'heartbeat read in part',
-      from: name,
-      unreadableEntries,
-    });
-  }
-
   private nextHeartbeat(): PeerMessage {
     this.membershipLog.report();
     if (this.peerState === 'starting' && this.isReady()) this.peerState = 'serving';
--- a/packages/gateway/src/gateway_parts.ts
+++ b/packages/gateway/src/gateway_parts.ts
@@ -4,6 +4,7 @@
 import type {ConnectionHistory} from './targets/connection_history';
 import type {ConfigurationView} from './store/configuration_view';
 import type {DecisionLog} from './logs/decision_log';
+import type {Defects} from './logs/defects';
 import type {Dial} from './targets/dial';
 import type {EvacuationView} from './targets/evacuation_view';
 import type {KeyLease} from './key_lease';
@@ -56,6 +57,7 @@
   readonly quotas: Quotas;
   readonly admissions: ServiceAdmissions;
   readonly log: DecisionLog;
+  readonly defects: Defects;
   readonly metrics: GatewayMetrics;
   /** Time since the last answer of the store, in milliseconds; undefined before the first answer. */
   readonly storeAgeMs: () => number | undefined;
--- a/packages/gateway/src/logs/gateway_metrics.ts
+++ b/packages/gateway/src/logs/gateway_metrics.ts
@@ -1,6 +1,7 @@
 /** Counters and latency histograms, served as text in the Prometheus format. */
 import type {KeyLeaseStatus} from '../key_lease';
 import type {RefusalReason} from '../admission';
+import type {DefectPlace} from './defects';
 import type {FeedState} from '../store/object_feed';
 import type {TargetCount} from '../targets/target_state';
 import type {PipelineLimit} from '../requests/request_pipeline';
@@ -51,6 +52,12 @@
     help: 'New or changed suspicions that a heartbeat had no room for, summed over heartbeats',
     registers: [this.registry],
   });
+  private readonly defects = new Counter({
+    name: 'cuminsill_defects_total',
+    help: "Exceptions of the gateway's own code, by the place where they were caught",
+    labelNames: ['place'],
+    registers: [this.registry],
+  });
   private readonly droppedMessages = new Counter({
     name: 'cuminsill_coordination_dropped_total',
     help: 'Messages of other gateways that were dropped, by reason',
@@ -149,6 +156,10 @@
     this.suspicionsLeftOut.inc(count);
   }
 
+  defectCaught(place: DefectPlace): void {
+    this.defects.inc({place});
+  }
+
   coordinationDropped(reason: string): void {
     this.droppedMessages.inc({reason});
   }
--- a/packages/gateway/src/requests/answer_writer.ts
+++ b/packages/gateway/src/requests/answer_writer.ts
@@ -1,5 +1,5 @@
 /** Writes the final answer of a request as HTTP. */
-import type * as http from 'node:http';
+import * as http from 'node:http';
 import type {TargetAnswer} from '../forwarding/target_exchange';
 import {relayAnswerHeaders, relayHeaderNames} from '../forwarding/relay_wire';
 import type {GatewayParts} from '../gateway_parts';
@@ -68,7 +68,8 @@
   if (answer.retryAfterMs !== undefined) {
     headers.push('Retry-After', (answer.retryAfterMs / 1000).toFixed(3));
   }
-  response.writeHead(status, headers);
+  // Without a reason phrase, that of an answer which could not be written would be written again.
+  response.writeHead(status, http.STATUS_CODES[status] ?? '', headers);
   response.end(body);
 }
 
--- a/packages/gateway/src/requests/caller_exchange.ts
+++ b/packages/gateway/src/requests/caller_exchange.ts
@@ -54,12 +54,14 @@
   }
 
   handle(): void {
-    if (hasCallerLeft(this.request)) this.recordDeparture();
-    else this.serve(undefined);
+    this.guard(() => {
+      if (hasCallerLeft(this.request)) this.recordDeparture();
+      else this.serve(undefined);
+    });
   }
 
   refuse(): void {
-    this.serve('gateway-busy');
+    this.guard(() => this.serve('gateway-busy'));
   }
 
   cancel(cause: CancelCause): void {
@@ -75,7 +77,19 @@
     if (served === undefined || response.destroyed) return;
     if (ending === 'close') response.shouldKeepAlive = false;
     const answer = ending === 'without-length' ? ownAnswer('answer-without-length') : served.answer;
-    writeAnswer(request, response, {...served, answer}, context);
+    try {
+      writeAnswer(request, response, {...served, answer}, context);
+    } catch (error) {
+      context.parts.defects.record('answer', error);
+      this.writeInternalError(served.requestId);
+    }
+  }
+
+  /** Replaces an answer that could not be written, so that the other requests of the connection keep it. */
+  private writeInternalError(requestId: string | undefined): void {
+    const {context, request, response} = this;
+    if (response.headersSent) request.socket.destroy();
+    else writeAnswer(request, response, {answer: ownAnswer('internal-error'), requestId}, context);
   }
 
   private serve(refusal: ImmediateRefusal | undefined): void {
@@ -89,24 +103,36 @@
         refusal: context.isRefusing() ? 'stopping' : refusal,
       }),
     );
-    this.fiber.addObserver(exit => this.onServed(exit));
+    this.fiber.addObserver(exit => this.guard(() => this.onServed(exit)));
   }
 
   private onServed(exit: Exit.Exit<ServedRequest>): void {
     if (Exit.isFailure(exit)) {
-      if (!Cause.isInterruptedOnly(exit.cause)) this.onDefect(exit.cause);
+      if (!Cause.isInterruptedOnly(exit.cause)) this.onDefect(Cause.squash(exit.cause));
       return;
     }
-    if (this.isCancelled) return;
-    this.served = exit.value;
-    const shape = answerShapeOf(this.request, exit.value.answer, this.context.isRelayed);
+    if (!this.isCancelled) this.answer(exit.value);
+  }
+
+  private answer(served: ServedRequest): void {
+    this.served = served;
+    const shape = answerShapeOf(this.request, served.answer, this.context.isRelayed);
     this.pipeline.answer(this, shape);
   }
 
-  /** Nothing is known about the request any more, so its connection ends without an answer. */
-  private onDefect(cause: Cause.Cause<never>): void {
-    this.context.parts.log.event('defect', {cause: Cause.pretty(cause)});
-    this.request.socket.destroy();
+  /** Ends this request if an exception leaves its code; the other requests of the gateway go on. */
+  private guard(run: () => void): void {
+    try {
+      run();
+    } catch (error) {
+      this.onDefect(error);
+    }
+  }
+
+  private onDefect(error: unknown): void {
+    this.context.parts.defects.record('request', error);
+    if (this.served !== undefined) this.request.socket.destroy();
+    else this.answer({answer: ownAnswer('internal-error'), requestId: undefined});
   }
 
   private recordDeparture(): void {
--- a/packages/gateway/src/requests/final_answer.ts
+++ b/packages/gateway/src/requests/final_answer.ts
@@ -23,7 +23,8 @@
   | 'unknown-key'
   | 'keys-not-confirmed'
   | 'quota-exceeded'
-  | 'answer-without-length';
+  | 'answer-without-length'
+  | 'internal-error';
 
 interface ReasonResponse {
   readonly code: number;
@@ -103,6 +104,11 @@
     status: 502,
     text: 'The answer had no length and could not be sent before other answers. The request was run.',
   },
+  'internal-error': {
+    code: 5021,
+    status: 500,
+    text: 'The gateway failed while it handled the request. Whether the request was run is not known.',
+  },
 };
 
 /** The answer to the caller: relayed from a target, or the gateway's own. */
--- a/packages/gateway/src/requests/serve_request.ts
+++ b/packages/gateway/src/requests/serve_request.ts
@@ -93,12 +93,19 @@
   run(): Effect.Effect<ServedRequest> {
     this.parts.metrics.requestStarted();
     return this.answer().pipe(
+      Effect.catchAllDefect(defect => Effect.sync(() => this.onDefect(defect))),
       Effect.tap(answer => Effect.sync(() => this.recordOutcome(answer))),
       Effect.map(answer => ({answer, requestId: this.head.requestId})),
       Effect.onInterrupt(() => Effect.sync(() => this.recordOutcome(undefined))),
     );
   }
 
+  /** A target may have run the request, so its caller is told nothing of that. */
+  private onDefect(defect: unknown): FinalAnswer {
+    this.parts.defects.record('request', defect);
+    return ownAnswer('internal-error');
+  }
+
   recordDeparture(): void {
     this.parts.metrics.requestStarted();
     this.recordOutcome(undefined);
--- a/packages/gateway/src/store/gateway_feeds.ts
+++ b/packages/gateway/src/store/gateway_feeds.ts
@@ -69,10 +69,11 @@
   view: ObjectView<Content>,
   confirmation?: ReadConfirmation,
 ): ObjectFeed<unknown> {
-  const {log, settings, time} = parts;
+  const {defects, log, settings, time} = parts;
   const {kind} = source;
   const sink: FeedSink<Content> = {
     confirmation,
+    onDefect: error => defects.record('feed', error),
     replace: list => view.replace(list),
     apply: changes => view.apply(changes),
     onConnected: (outageMs, callStartedAtMs) => {
--- a/packages/gateway/src/store/object_feed.ts
+++ b/packages/gateway/src/store/object_feed.ts
@@ -6,8 +6,8 @@
 import type {TimeSource} from '@cuminsill/utils';
 import {Effect} from 'effect';
 import type {FeedTiming} from './feed_timing';
-import type {ObjectChanges, ObjectList, ObjectSource, SourceError, StoreEra} from './object_source';
-import {areDifferentEras} from './object_source';
+import type {ObjectChanges, ObjectList, ObjectSource, StoreEra} from './object_source';
+import {areDifferentEras, SourceError} from './object_source';
 import {StoreCircuit} from './store_circuit';
 
 /** Receives the lists, changes and connection states of a feed. */
@@ -24,6 +24,8 @@
   onConnected(outageMs: number, callStartedAtMs: number): void;
   /** Called when the store becomes unavailable. */
   onDisconnected(error: SourceError, failedCall: FailedCall): void;
+  /** Called when an exception has prevented that an answer is delivered; the feed lists again. */
+  onDefect(error: unknown): void;
   /** Missing when it does not matter how old the state of the store may be. */
   readonly confirmation?: ReadConfirmation | undefined;
 }
@@ -159,7 +161,9 @@
         return this.revision === undefined ? this.list() : this.pollChanges();
       }),
     );
-    const answered = Effect.as(call, 'answered' as const);
+    const answered = Effect.as(call, 'answered' as const).pipe(
+      Effect.catchAllDefect(defect => this.onDefect(defect)),
+    );
     return Effect.raceFirst(answered, this.callEnded()).pipe(
       Effect.matchEffect({
         onFailure: error => this.onFailure(error),
@@ -228,11 +232,19 @@
     this.firstFailedCallAtMs = undefined;
   }
 
+  /** The sink may have taken a part of the answer. Without this, an exception would end the feed for good. */
+  private onDefect(defect: unknown): Effect.Effect<never, SourceError> {
+    this.revision = undefined;
+    this.sink.onDefect(defect);
+    return Effect.fail(new SourceError('undeliverable', String(defect)));
+  }
+
   private onFailure(error: SourceError): Effect.Effect<void> {
     if (error.failure === 'history-gone') {
       this.revision = undefined;
       return Effect.void;
     }
+    if (error.failure === 'undeliverable') return Effect.sleep(maxBackoffMs);
     if (error.failure === 'unavailable') this.circuit.onUnavailable(this.callStartedAtMs);
     if (this.connected && error.failure === 'unavailable') {
       this.connected = false;
--- a/packages/gateway/src/store/object_source.ts
+++ b/packages/gateway/src/store/object_source.ts
@@ -43,7 +43,7 @@
 }
 
 /** Why a call to the store failed. */
-export type SourceFailure = 'history-gone' | 'rate-limited' | 'unavailable';
+export type SourceFailure = 'history-gone' | 'rate-limited' | 'unavailable' | 'undeliverable';
 
 /** A failed call to the store. */
 export class SourceError extends Error {
