--- a/packages/standins/src/users_platform/endpoint_server.ts
+++ b/packages/standins/src/users_platform/endpoint_server.ts
@@ -4,6 +4,7 @@
  */
 import * as http from 'node:http';
 import type {AddressInfo, Socket} from 'node:net';
+import {encodeHeaderText} from '@cuminsill/utils';
 
 /** How an endpoint answers a request. */
 export type AnswerMode =
@@ -136,7 +137,9 @@
 
   private serve(request: http.IncomingMessage, response: http.ServerResponse): void {
     if (request.url === '/health') {
-      response.writeHead(this.draining ? 503 : 200, {'Instance-Id': this.options.id});
+      response.writeHead(this.draining ? 503 : 200, {
+        'Instance-Id': encodeHeaderText(this.options.id),
+      });
       response.end();
       return;
     }
@@ -144,7 +147,8 @@
     this.options.observer?.onArrived(requestIdOf(request));
     const answer = new EndpointAnswer(this, request, response);
     const expected = request.headers['expect-instance'];
-    if (expected !== undefined && expected !== this.options.id) answer.reject(421);
+    if (expected !== undefined && utf8TextOf(String(expected)) !== this.options.id)
+      {answer.reject(421);}
     else this.admit(request, answer, this.options.script?.shift() ?? this.mode);
   }
 
@@ -225,6 +229,11 @@
 const piecesPerWrite = 4_096;
 const defaultBody = 'the answer of the endpoint';
 
+/** Node reads each byte of a header as one character. */
+function utf8TextOf(headerText: string): string {
+  return Buffer.from(headerText, 'latin1').toString('utf8');
+}
+
 function requestIdOf(request: http.IncomingMessage): string {
   return String(request.headers['request-id'] ?? '');
 }
@@ -257,7 +266,7 @@
     this.response.writeHead(status, {
       'Request-Id': this.requestId(),
       'Not-Executed': '1',
-      'Instance-Id': this.endpoint.options.id,
+      'Instance-Id': encodeHeaderText(this.endpoint.options.id),
       'Server-Load': this.endpoint.serverLoad(),
       ...this.limitHeader(),
       ...this.leavingHeader(),
@@ -326,7 +335,7 @@
     const {coldForMs} = this.endpoint;
     return {
       'Request-Id': this.requestId(),
-      'Response-Stamp': `stamp-${this.endpoint.options.id}`,
+      'Response-Stamp': `stamp-${encodeHeaderText(this.endpoint.options.id)}`,
       'Server-Load': this.endpoint.serverLoad(),
       ...(coldForMs > 0 ? {'Cold-Ms': String(coldForMs)} : {}),
       ...this.limitHeader(),
--- a/packages/standins/src/users_platform/object_store_server.ts
+++ b/packages/standins/src/users_platform/object_store_server.ts
@@ -54,6 +54,8 @@
 export class ObjectStoreServer {
   readonly table = new ObjectTable();
   fault: ObjectStoreFault = noObjectStoreFault;
+  /** Changes the JSON text of answers; for content that cannot be made from values, such as numbers out of range. */
+  rewriteAnswer: (text: string) => string = text => text;
   /** Received calls as `METHOD kind`, in order. */
   readonly calls: string[] = [];
   private era = 1;
@@ -127,7 +129,7 @@
     const {socket} = response;
     if (socket !== null && this.silentConnections.has(socket)) return true;
     response.setHeader('Store-Era', String(this.era));
-    send(response, reply);
+    send(response, reply.status, this.rewriteAnswer(JSON.stringify(reply.body)));
     return true;
   }
 
@@ -219,8 +221,7 @@
   }
 }
 
-function send(response: http.ServerResponse, {status, body}: Reply): void {
-  const text = JSON.stringify(body);
+function send(response: http.ServerResponse, status: number, text: string): void {
   response.writeHead(status, {
     'Content-Type': 'application/json',
     'Content-Length': Buffer.byteLength(text),
--- a/packages/utils/src/http_syntax.ts
+++ b/packages/utils/src/http_syntax.ts
@@ -6,6 +6,7 @@
 const tokenPattern = /^[!#$%&'*+\-.^_`|~0-9A-Za-z]+$/;
 /** Tab, space, visible characters and bytes beyond ASCII. */
 const textPattern = /^[\t\x20-\x7e\x80-\xff]*$/;
+const plainTextPattern = /^[\t\x20-\x7e]*$/;
 /** A request target has no white space and no control characters. */
 const requestTargetPattern = /^[\x21-\x7e\x80-\xff]+$/;
 /** Status codes of final responses. */
@@ -22,6 +23,11 @@
   return textPattern.test(text);
 }
 
+/** Writes a text as the value of a header: beyond ASCII in UTF-8, each byte as one character, as Node's `http` takes it. */
+export function encodeHeaderText(text: string): string {
+  return plainTextPattern.test(text) ? text : Buffer.from(text, 'utf8').toString('latin1');
+}
+
 /** True for a path with its query, as it stands in a request line. */
 export function isRequestTarget(text: string): boolean {
   return requestTargetPattern.test(text);
