Count a rejection only for the request whose id it repeats

Orders ran at two targets (TWICE): a faulty target sends a rejection without a request id after an answer, it arrives when the next order runs on the connection, and the order is sent to a second target. Without one, its caller would have been told that it had not run (REFUSED).

Cause: Not-Executed and status 421 were read before the id was compared, so a rejection without an id counted for any request.

Change: the id is compared first; an answer without it is lost. Whether a request may go to another target is now one function of the ends of its attempts, with a table of cases (retry_rule); the judgement of answers has its own module.

--- a/packages/gateway/__tests__/second_answers.test.ts
+++ b/packages/gateway/__tests__/second_answers.test.ts
@@ -6,7 +6,7 @@
 import type {Exchange, ExchangeEnd} from '../src/forwarding/target_exchange';
 import {exchangeWithTarget} from '../src/forwarding/target_exchange';
 import {classifyRelayed} from '../src/forwarding/relay_exchange';
-import {classifyResponse} from '../src/forwarding/target_exchange';
+import {classifyResponse} from '../src/forwarding/judge_response';
 import type {CallerRequest} from '../src/requests/caller_request';
 import type {RequestWire} from '../src/requests/request_wire';
 import {TargetConnections} from '../src/targets/target_connections';
--- a/packages/gateway/src/forwarding/attempt_record.ts
+++ b/packages/gateway/src/forwarding/attempt_record.ts
@@ -1,15 +1,14 @@
 /** Records the attempts of one request and derives the final answer when none succeeded. */
 import type {FinalAnswer} from '../requests/final_answer';
 import {ownAnswer} from '../requests/final_answer';
+import type {AttemptEnd, AttemptsState} from './retry_rule';
+import {mayHaveRun, sentCountOf} from './retry_rule';
 import type {ExchangeEnd, TargetAnswer} from './target_exchange';
 
-/** Failed connection attempts that a request may make in addition to the attempts that reach a target. */
-const maxUnsentAttempts = 3;
-
 /** How one attempt ended; written to the log. */
 export interface AttemptSummary {
   readonly targetId: string;
-  readonly end: ExchangeEnd['kind'] | 'cancelled';
+  readonly end: AttemptEnd;
   readonly elapsedMs: number;
   /** Whether the target had handled the object of the request for this gateway lately; left out without an object. */
   readonly isHeld?: boolean;
@@ -23,15 +22,16 @@
   readonly attemptedTargetIds = new Set<string>();
   readonly attempts: AttemptSummary[] = [];
   private inFlightCount = 0;
-  private reachedCount = 0;
-  private unsentCount = 0;
-  private unknownOutcome: 'no' | 'connection-lost' | 'timed-out' = 'no';
-  private wasRejected = false;
   private failedAnswer: {readonly answer: TargetAnswer; readonly targetId: string} | undefined;
 
+  /** The attempts so far. */
+  get state(): AttemptsState {
+    return {ends: this.attempts.map(({end}) => end), inFlightCount: this.inFlightCount};
+  }
+
   /** Number of targets that the request has reached or is being sent to. */
   get sentCount(): number {
-    return this.inFlightCount + this.reachedCount;
+    return sentCountOf(this.state);
   }
 
   /** Number of targets whose connection was lost while they had the request. */
@@ -47,17 +47,12 @@
 
   /** True when connections failed and no target was reached. */
   get wasOnlyUnsent(): boolean {
-    return this.sentCount === 0 && this.unsentCount > 0;
+    return this.sentCount === 0 && this.has('unsent');
   }
 
   /** True when the request is in flight or may have been run. */
   get mayHaveRun(): boolean {
-    return this.inFlightCount > 0 || this.unknownOutcome !== 'no';
-  }
-
-  /** True while the request may be sent to another target. */
-  mayAttemptAnother(maxTargets: number): boolean {
-    return this.sentCount < maxTargets && this.unsentCount <= maxUnsentAttempts;
+    return mayHaveRun(this.state);
   }
 
   /** Records the start of an attempt. */
@@ -74,22 +69,12 @@
     const held = isHeld === undefined ? {} : {isHeld};
     const summary = {targetId, end: end.kind, elapsedMs: Math.round(elapsedMs), ...held};
     this.attempts.push({...summary, ...detail, ...connection});
-    if (end.kind === 'unsent') {
-      this.unsentCount += 1;
-      return;
-    }
-    this.reachedCount += 1;
-    if (end.kind === 'lost') this.unknownOutcome = 'connection-lost';
-    if (end.kind === 'timed-out') this.unknownOutcome = 'timed-out';
-    if (end.kind === 'declined') this.wasRejected = true;
     if (end.kind === 'answered') this.failedAnswer = {answer: end.answer, targetId};
   }
 
   /** Records that this gateway cancelled an attempt. */
   recordCancel(targetId: string, elapsedMs: number): void {
     this.inFlightCount -= 1;
-    this.reachedCount += 1;
-    if (this.unknownOutcome === 'no') this.unknownOutcome = 'timed-out';
     this.attempts.push({targetId, end: 'cancelled', elapsedMs: Math.round(elapsedMs)});
   }
 
@@ -99,12 +84,22 @@
    */
   failureAnswer(retryAfterMs: number): FinalAnswer {
     if (this.failedAnswer !== undefined) return relayedOrOutcomeUnknown(this.failedAnswer);
-    if (this.unknownOutcome === 'connection-lost') return ownAnswer('outcome-unknown');
-    if (this.mayHaveRun) return ownAnswer('target-timed-out');
-    if (this.wasRejected) return ownAnswer('targets-declined', retryAfterMs);
-    if (this.unsentCount > 0) return ownAnswer('no-usable-target', retryAfterMs);
+    if (this.mayHaveRun) {
+      return ownAnswer(this.lastUnknownEnd === 'lost' ? 'outcome-unknown' : 'target-timed-out');
+    }
+    if (this.has('declined')) return ownAnswer('targets-declined', retryAfterMs);
+    if (this.has('unsent')) return ownAnswer('no-usable-target', retryAfterMs);
     return ownAnswer('deadline-before-sending', retryAfterMs);
   }
+
+  /** Latest end with an unknown outcome. A cancelled attempt says less than the others, so it counts only without them. */
+  private get lastUnknownEnd(): AttemptEnd | undefined {
+    return this.attempts.findLast(({end}) => end === 'lost' || end === 'timed-out')?.end;
+  }
+
+  private has(end: AttemptEnd): boolean {
+    return this.attempts.some(attempt => attempt.end === end);
+  }
 }
 
 /** Statuses that tell the caller that the request was not run. */
--- a/packages/gateway/src/forwarding/forwarding.ts
+++ b/packages/gateway/src/forwarding/forwarding.ts
@@ -16,9 +16,11 @@
 import type {Placement} from '../targets/placement';
 import type {PlannedHedge} from './hedge_planner';
 import {HedgePlanner} from './hedge_planner';
+import {classifyResponse} from './judge_response';
 import {RequestPlacement} from './request_placement';
 import type {Exchange, ExchangeEnd} from './target_exchange';
-import {classifyResponse, exchangeWithTarget} from './target_exchange';
+import {exchangeWithTarget} from './target_exchange';
+import {mayRetry} from './retry_rule';
 import {defaultRetryAfterMs, usableAgainAfterMs} from './usable_again';
 import {headersReplacedForTargets, keyRefusal} from './request_credentials';
 import {RelayAttempts} from './relay_attempts';
@@ -244,10 +246,9 @@
   }
 
   private mayRetry(): boolean {
-    const {repeat, maxTargets} = this.forwarded.route;
-    if (repeat === 'at-most-once' && this.record.mayHaveRun) return false;
-    if (this.mayCrashNextTarget()) return false;
-    return this.record.mayAttemptAnother(maxTargets) && this.remainingMs() > 0;
+    const {record, forwarded} = this;
+    if (this.remainingMs() <= 0 || this.mayCrashNextTarget()) return false;
+    return mayRetry(forwarded.route, record.state);
   }
 
   /** True if the request is quarantined as soon as a probe shows that the target of its lost attempt is down. */
--- a/packages/gateway/src/forwarding/relay_exchange.ts
+++ b/packages/gateway/src/forwarding/relay_exchange.ts
@@ -13,7 +13,8 @@
   relayReasonHeader,
 } from './relay_wire';
 import type {CompleteResponse, ExchangeEnd, TargetAnswer} from './target_exchange';
-import {answerOf, exchangeWithTarget, lostResponse} from './target_exchange';
+import {answerOf, lostResponse} from './judge_response';
+import {exchangeWithTarget} from './target_exchange';
 
 /** A relay that accepts no connection within this time beyond the round trip is not reached. */
 const connectMarginMs = 400;
--- a/packages/gateway/src/forwarding/target_exchange.ts
+++ b/packages/gateway/src/forwarding/target_exchange.ts
@@ -13,7 +13,8 @@
 import {Effect} from 'effect';
 import type {CallerRequest} from '../requests/caller_request';
 import {endToEndHeaders} from '../requests/end_to_end_headers';
-import type {RequestWire, TargetHead} from '../requests/request_wire';
+import type {TargetHead} from '../requests/request_wire';
+import {lostResponse} from './judge_response';
 import type {TargetConnections, TargetRequestOptions} from '../targets/target_connections';
 import {maxIdleForAtMostOnceMs} from '../targets/target_connections';
 
@@ -268,41 +269,3 @@
   if (!isFinalStatus(statusCode ?? 0) || !isHeaderText(statusMessage ?? '')) return false;
   return areHeadersValid(rawHeaders);
 }
-
-/** Returns the response as an answer. */
-export function answerOf({response, body}: CompleteResponse, head: TargetHead): TargetAnswer {
-  const {rawHeaders, headers} = response;
-  return {
-    status: response.statusCode ?? 0,
-    statusText: response.statusMessage ?? '',
-    rawHeaders,
-    body,
-    isSelfDelimited:
-      headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined,
-    head,
-  };
-}
-
-/** Checks whether a complete response of a target belongs to this request and whether the target ran it. */
-export function classifyResponse(
-  complete: CompleteResponse,
-  {requestId}: CallerRequest,
-  wire: RequestWire,
-): ExchangeEnd {
-  const {response, firstByteMs} = complete;
-  const head = wire.readTarget(response);
-  const answer = answerOf(complete, head);
-  if (head.requestId !== undefined && head.requestId !== requestId) {
-    return lostResponse('answer to another request');
-  }
-  if (head.notExecuted || head.wrongTarget) return {kind: 'declined', answer};
-  if (head.requestId === undefined) return lostResponse('answer without a request id');
-  if (!head.signed) return lostResponse('unsigned answer');
-  if (response.headers['content-encoding'] !== undefined) return lostResponse('encoded body');
-  return {kind: 'answered', answer, firstByteMs};
-}
-
-/** Result for a response that does not answer the request; the request may have run. */
-export function lostResponse(detail: string): ExchangeEnd {
-  return {kind: 'lost', detail, reusedConnection: false};
-}
