Bound the memory for the bodies of requests and answers

Processes ended over their memory limit with all requests they had (LOST, Fault): beside three uploads of 60 MB, within the operator's limit, and beside answers without end in short chunks.

Cause: nothing bounded the sum of the bodies that a gateway holds; each was kept as a list of chunks and copied at its end, and each chunk was an object of its own.

Change: one room for all bodies, a quarter of the memory limit, which is a setting now. A body with a length reserves it before it is read and waits in order of arrival: an upload for half of its time, then it is refused with 5022 (memory-full, 503). One without a length reserves as it grows and is given up without room. Large bodies leave a fifth of the room to small ones. Chunks are copied into one buffer.

--- a/packages/gateway/__fixtures__/raw_target.ts
+++ b/packages/gateway/__fixtures__/raw_target.ts
@@ -6,6 +6,7 @@
 import {classifyResponse} from '../src/forwarding/judge_response';
 import type {ExchangeEnd} from '../src/forwarding/target_exchange';
 import {exchangeWithTarget} from '../src/forwarding/target_exchange';
+import {BodyMemory, bodyRoomOf} from '../src/memory/body_memory';
 import type {CallerRequest} from '../src/requests/caller_request';
 import type {RequestWire} from '../src/requests/request_wire';
 import {TargetConnections} from '../src/targets/target_connections';
@@ -72,6 +73,7 @@
         replacedHeaders: new Set(),
         classify: response => classifyResponse(response, request, requestWire),
         connections: this.connections,
+        memory: new BodyMemory(bodyRoomOf(350)),
         time: systemTime,
         remainingMs: 5_000,
         connectTimeoutMs: 5_000,
--- a/packages/gateway/__tests__/second_answers.test.ts
+++ b/packages/gateway/__tests__/second_answers.test.ts
@@ -7,6 +7,7 @@
 import {exchangeWithTarget} from '../src/forwarding/target_exchange';
 import {classifyRelayed} from '../src/forwarding/relay_exchange';
 import {classifyResponse} from '../src/forwarding/judge_response';
+import {BodyMemory, bodyRoomOf} from '../src/memory/body_memory';
 import type {CallerRequest} from '../src/requests/caller_request';
 import type {RequestWire} from '../src/requests/request_wire';
 import {TargetConnections} from '../src/targets/target_connections';
@@ -69,6 +70,7 @@
       replacedHeaders: new Set(),
       classify,
       connections,
+      memory: new BodyMemory(bodyRoomOf(350)),
       time: systemTime,
       remainingMs: 2_000,
       connectTimeoutMs: 1_000,
--- a/packages/gateway/src/forwarding/forwarding.ts
+++ b/packages/gateway/src/forwarding/forwarding.ts
@@ -366,6 +366,7 @@
       replacedHeaders: headersReplacedForTargets(parts),
       classify: response => classifyResponse(response, forwarded.request, parts.requestWire),
       connections: parts.connections,
+      memory: parts.bodyMemory,
       time: parts.time,
       remainingMs,
       connectTimeoutMs: parts.roundTripTimes.expectedMs(failureDomain) + connectMarginMs,
--- a/packages/gateway/src/forwarding/relay_exchange.ts
+++ b/packages/gateway/src/forwarding/relay_exchange.ts
@@ -51,6 +51,7 @@
       ]),
       classify: response => classifyRelayed(requestWire, request, response),
       connections: parts.relayConnections,
+      memory: parts.bodyMemory,
       time: parts.time,
       remainingMs,
       connectTimeoutMs: roundTripTimes.expectedMs(relay.failureDomain) + connectMarginMs,
--- a/packages/gateway/src/forwarding/target_exchange.ts
+++ b/packages/gateway/src/forwarding/target_exchange.ts
@@ -11,6 +11,9 @@
 import type {TimeSource} from '@cuminsill/utils';
 import {areHeadersValid, isFinalStatus, isHeaderText} from '@cuminsill/utils';
 import {Effect} from 'effect';
+import type {BodyOverflow} from '../memory/body_buffer';
+import {BodyBuffer} from '../memory/body_buffer';
+import type {BodyMemory, BodyReservation} from '../memory/body_memory';
 import type {CallerRequest} from '../requests/caller_request';
 import {endToEndHeaders} from '../requests/end_to_end_headers';
 import type {TargetHead} from '../requests/request_wire';
@@ -67,6 +70,8 @@
   /** Judges a complete response. */
   readonly classify: (response: CompleteResponse) => ExchangeEnd;
   readonly connections: TargetConnections;
+  /** Room for the body of the answer. */
+  readonly memory: BodyMemory;
   readonly time: TimeSource;
   /** Time left until the deadline. */
   readonly remainingMs: number;
@@ -107,6 +112,9 @@
   private hasEnded = false;
   private readonly deadlineTimer: NodeJS.Timeout;
   private connectTimer: NodeJS.Timeout | undefined;
+  /** Gives up the wait for room for the body of the answer. */
+  private giveUpWait: () => void = () => undefined;
+  private reservation: BodyReservation | undefined;
 
   constructor(
     private readonly exchange: Exchange,
@@ -193,21 +201,32 @@
     const firstByteMs = this.exchange.time.monotonicMs() - this.startedAtMs;
     // A target may answer before it has read the whole body, and would take the next request for the rest of it.
     const isEarlyAnswer = !this.outgoing.writableFinished;
-    const chunks: Buffer[] = [];
-    let bytes = 0;
+    const knownBytes = knownLengthOf(response, this.exchange.request.method);
+    response.on('error', error => this.onError(error));
+    if ((knownBytes ?? 0) > maxAnswerBytes) {
+      this.abort(this.lostEnd(overflowTexts['too-large']));
+      return;
+    }
+    // Until there is room for the whole body, none of it is read.
+    this.giveUpWait = this.exchange.memory.whenRoom(knownBytes ?? 0, reservation => {
+      this.reservation = reservation;
+      const body = new BodyBuffer({reservation, maxBytes: maxAnswerBytes, knownBytes});
+      this.readBody(response, body, () =>
+        this.onComplete(response, body.bytes(), firstByteMs, isEarlyAnswer),
+      );
+    });
+  }
+
+  private readBody(response: http.IncomingMessage, body: BodyBuffer, onComplete: () => void): void {
     response.on('data', (chunk: Buffer) => {
-      bytes += chunk.length;
-      if (bytes <= maxAnswerBytes) chunks.push(chunk);
-      else this.abort(this.lostEnd('answer too large'));
+      if (this.hasEnded) return;
+      const overflow = body.add(chunk);
+      if (overflow !== undefined) this.abort(this.lostEnd(overflowTexts[overflow]));
     });
-    response.on('error', error => this.onError(error));
     response.on('end', () => {
       if (this.hasEnded) return;
-      if (!response.complete) this.onError(new Error('answer broke off'));
-      else {
-        const body = Buffer.concat(chunks);
-        this.guard(() => this.onComplete(response, body, firstByteMs, isEarlyAnswer));
-      }
+      if (response.complete) this.guard(onComplete);
+      else this.onError(new Error('answer broke off'));
     });
   }
 
@@ -255,9 +274,26 @@
     this.hasEnded = true;
     clearTimeout(this.deadlineTimer);
     clearTimeout(this.connectTimer);
+    this.giveUpWait();
+    this.reservation?.release();
   }
 }
 
+const overflowTexts: Readonly<Record<BodyOverflow, string>> = {
+  'too-large': 'answer too large',
+  'no-room': 'no room for the answer',
+};
+
+/** Length of the body that follows; undefined when the answer does not state it. */
+function knownLengthOf(
+  {headers, statusCode}: http.IncomingMessage,
+  method: string,
+): number | undefined {
+  if (method === 'HEAD' || statusCode === 204 || statusCode === 304) return 0;
+  const length = headers['content-length'];
+  return length === undefined ? undefined : Number(length);
+}
+
 const bodilessMethods: ReadonlySet<string> = new Set(['GET', 'HEAD', 'DELETE', 'OPTIONS', 'TRACE']);
 
 function unsentEnd(detail: string): ExchangeEnd {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -35,6 +35,7 @@
 import type {Quotas} from './quota';
 import {SharedQuotas, unlimitedQuotas} from './quota';
 import {HeartbeatReceiver} from './peers/heartbeat_receiver';
+import {BodyMemory, bodyRoomOf} from './memory/body_memory';
 import {MembershipLog} from './peers/membership_log';
 import type {FeedState, ObjectFeed} from './store/object_feed';
 import {RegionalShares} from './regional_shares';
@@ -259,6 +260,7 @@
       keyLease: this.keyLease,
       quotas: this.makeQuotas({peers, coordination, log, metrics}),
       admissions: new ServiceAdmissions(),
+      bodyMemory: new BodyMemory(bodyRoomOf(settings.value.memoryLimitMb)),
       log,
       defects: new Defects(log, metrics),
       metrics,
--- a/packages/gateway/src/gateway_parts.ts
+++ b/packages/gateway/src/gateway_parts.ts
@@ -14,6 +14,7 @@
 import type {GatewayMetrics} from './logs/gateway_metrics';
 import type {CurrentSettings} from './gateway_settings';
 import type {RoundTripTimes} from './targets/round_trip_times';
+import type {BodyMemory} from './memory/body_memory';
 import type {PeerTable} from './peers/peer_table';
 import type {PendingLosses} from './poison/pending_losses';
 import type {PoisonTracker} from './poison/poison_tracker';
@@ -56,6 +57,8 @@
   readonly keyLease: KeyLease;
   readonly quotas: Quotas;
   readonly admissions: ServiceAdmissions;
+  /** Room for the bodies of requests and answers. */
+  readonly bodyMemory: BodyMemory;
   readonly log: DecisionLog;
   readonly defects: Defects;
   readonly metrics: GatewayMetrics;
--- a/packages/gateway/src/gateway_settings.ts
+++ b/packages/gateway/src/gateway_settings.ts
@@ -8,6 +8,9 @@
 import type {GatewayBounds, GatewaySettings, QuotaBounds} from './gateway_types';
 import {parseAddress} from './socket_address';
 
+/** Memory of a small machine, for a platform that states no limit. */
+const defaultMemoryLimitMb = 256;
+
 /** An invalid settings file, with all problems found. */
 export class SettingsError extends Error {
   override readonly name = 'SettingsError';
@@ -70,6 +73,7 @@
       metrics: reader.address('listen', 'metrics'),
       peers: reader.address('listen', 'peers'),
     },
+    memoryLimitMb: reader.optionalNumber('', 'memoryLimitMb') ?? defaultMemoryLimitMb,
     bounds: readBounds(reader),
   };
 }
--- a/packages/gateway/src/gateway_types.ts
+++ b/packages/gateway/src/gateway_types.ts
@@ -161,5 +161,7 @@
     readonly peers: SocketAddress;
   };
   readonly storeAddress: SocketAddress;
+  /** Memory above which the platform ends the process, in megabytes. */
+  readonly memoryLimitMb: number;
   readonly bounds: GatewayBounds;
 }
--- a/packages/gateway/src/logs/gateway_metrics.ts
+++ b/packages/gateway/src/logs/gateway_metrics.ts
@@ -52,6 +52,11 @@
     help: 'New or changed suspicions that a heartbeat had no room for, summed over heartbeats',
     registers: [this.registry],
   });
+  private readonly bodyBytes = new Gauge({
+    name: 'cuminsill_body_bytes',
+    help: 'Bytes of the bodies of requests and answers that the gateway holds',
+    registers: [this.registry],
+  });
   private readonly defects = new Counter({
     name: 'cuminsill_defects_total',
     help: "Exceptions of the gateway's own code, by the place where they were caught",
@@ -168,6 +173,10 @@
     this.keyEvidenceResults.inc({result});
   }
 
+  setBodyBytes(bytes: number): void {
+    this.bodyBytes.set(bytes);
+  }
+
   setKeyLease({ageMs}: KeyLeaseStatus): void {
     if (ageMs !== undefined) this.keyLeaseAge.set(ageMs / 1000);
   }
--- a/packages/gateway/src/pages/gateway_pages.ts
+++ b/packages/gateway/src/pages/gateway_pages.ts
@@ -65,6 +65,7 @@
     });
     parts.metrics.setStoreAnswerAges(state.feedStates());
     parts.metrics.setKeyLease(parts.keyLease.status());
+    parts.metrics.setBodyBytes(parts.bodyMemory.heldBytes);
     const body = await parts.metrics.render();
     return {status: 200, contentType: 'text/plain; version=0.0.4', body};
   };
--- a/packages/gateway/src/requests/caller_exchange.ts
+++ b/packages/gateway/src/requests/caller_exchange.ts
@@ -3,7 +3,9 @@
 import type {Fiber} from 'effect';
 import {Cause, Effect, Exit} from 'effect';
 import type {GatewayParts} from '../gateway_parts';
+import type {BodyReservation} from '../memory/body_memory';
 import {answerShapeOf, writeAnswer} from './answer_writer';
+import type {FinalAnswer} from './final_answer';
 import {ownAnswer} from './final_answer';
 import type {
   AnswerEnding,
@@ -34,6 +36,7 @@
   private fiber: Fiber.RuntimeFiber<ServedRequest> | undefined;
   private served: ServedRequest | undefined;
   private isCancelled = false;
+  private heldAnswer: BodyReservation | undefined;
 
   constructor(
     private readonly context: ConnectionContext,
@@ -69,6 +72,7 @@
     this.context.queue.remove(this);
     if (this.fiber === undefined && cause === 'caller-left') this.recordDeparture();
     this.isCancelled = true;
+    this.heldAnswer?.release();
     this.fiber?.unsafeInterruptAsFork(this.fiber.id());
   }
 
@@ -116,10 +120,19 @@
 
   private answer(served: ServedRequest): void {
     this.served = served;
+    this.holdAnswer(served.answer);
     const shape = answerShapeOf(this.request, served.answer, this.context.isRelayed);
     this.pipeline.answer(this, shape);
   }
 
+  /** Counts the body of the answer until it has left the process, or never will. */
+  private holdAnswer(answer: FinalAnswer): void {
+    if (answer.kind === 'own' || answer.answer.body.length === 0) return;
+    if (this.response.destroyed) return;
+    this.heldAnswer = this.context.parts.bodyMemory.hold(answer.answer.body.length);
+    this.response.once('close', this.heldAnswer.release);
+  }
+
   /** Ends this request if an exception leaves its code; the other requests of the gateway go on. */
   private guard(run: () => void): void {
     try {
--- a/packages/gateway/src/requests/caller_request.ts
+++ b/packages/gateway/src/requests/caller_request.ts
@@ -1,6 +1,9 @@
 /** Reads a caller's whole request, so that it can be sent to another target when one did not run it. */
 import type {IncomingMessage} from 'node:http';
 import {Effect} from 'effect';
+import type {BodyBufferOptions} from '../memory/body_buffer';
+import {BodyBuffer} from '../memory/body_buffer';
+import type {BodyMemory, BodyReservation} from '../memory/body_memory';
 import type {CallerHead} from './request_wire';
 
 /** A request as the caller sent it. */
@@ -23,34 +26,77 @@
 export class BodyError extends Error {
   override readonly name = 'BodyError';
 
-  constructor(readonly failure: 'too-large' | 'broken-off') {
+  constructor(readonly failure: 'too-large' | 'broken-off' | 'no-room') {
     super(failure);
   }
 }
 
+/** Limits for reading one body. */
+export interface BodyLimits {
+  readonly maxBytes: number;
+  /** Time for which the body may wait for room before any of it is read, in milliseconds. */
+  readonly maxWaitMs: number;
+}
+
 const noBody = Buffer.alloc(0);
 
-/** Reads the body. Fails when it exceeds the limit or the connection ends early. */
-export function readBody(
+/**
+ * Reads the body and hands it to `use`, at whose end its room is free again. Fails when the body exceeds the limit, when there
+ * is no room for it, or when the connection ends early.
+ */
+export function withBody<Result>(
   request: IncomingMessage,
-  maxBytes: number,
+  memory: BodyMemory,
+  limits: BodyLimits,
+  use: (body: Buffer) => Effect.Effect<Result>,
+): Effect.Effect<Result, BodyError> {
+  if (hasNoBody(request)) return use(noBody);
+  const {maxBytes, maxWaitMs} = limits;
+  const length = request.headers['content-length'];
+  const knownBytes = length === undefined ? undefined : Number(length);
+  return Effect.uninterruptibleMask(restore =>
+    Effect.flatMap(restore(reserveRoom(memory, knownBytes ?? 0, maxWaitMs)), reservation =>
+      Effect.ensuring(
+        restore(Effect.flatMap(readInto(request, {reservation, maxBytes, knownBytes}), use)),
+        Effect.sync(() => reservation.release()),
+      ),
+    ),
+  );
+}
+
+function reserveRoom(
+  memory: BodyMemory,
+  bytes: number,
+  maxWaitMs: number,
+): Effect.Effect<BodyReservation, BodyError> {
+  return Effect.suspend(() => {
+    const reservation = memory.tryReserve(bytes);
+    if (reservation !== undefined) return Effect.succeed(reservation);
+    const noRoom = () => new BodyError('no-room');
+    return Effect.timeoutFail(memory.waitForRoom(bytes), {duration: maxWaitMs, onTimeout: noRoom});
+  });
+}
+
+function readInto(
+  request: IncomingMessage,
+  options: BodyBufferOptions,
 ): Effect.Effect<Buffer, BodyError> {
-  if (hasNoBody(request)) return Effect.succeed(noBody);
   return Effect.async<Buffer, BodyError>(resume => {
-    const chunks: Buffer[] = [];
-    let bytes = 0;
+    const body = new BodyBuffer(options);
     const fail = (failure: BodyError['failure']) => resume(Effect.fail(new BodyError(failure)));
     const onData = (chunk: Buffer) => {
-      bytes += chunk.length;
-      if (bytes <= maxBytes) chunks.push(chunk);
-      else fail('too-large');
+      const overflow = body.add(chunk);
+      if (overflow === undefined) return;
+      request.off('data', onData);
+      fail(overflow);
     };
     request.on('data', onData);
-    request.on('end', () => resume(Effect.succeed(Buffer.concat(chunks))));
+    request.on('end', () => resume(Effect.succeed(body.bytes())));
     request.on('error', () => fail('broken-off'));
     request.on('close', () => {
       if (!request.complete) fail('broken-off');
     });
+    if (request.destroyed && !request.complete) fail('broken-off');
     return Effect.sync(() => {
       request.off('data', onData);
     });
--- a/packages/gateway/src/requests/final_answer.ts
+++ b/packages/gateway/src/requests/final_answer.ts
@@ -24,7 +24,8 @@
   | 'keys-not-confirmed'
   | 'quota-exceeded'
   | 'answer-without-length'
-  | 'internal-error';
+  | 'internal-error'
+  | 'memory-full';
 
 interface ReasonResponse {
   readonly code: number;
@@ -108,6 +109,11 @@
     status: 502,
     text: 'The answer had no length and could not be sent before other answers. The request was run.',
   },
+  'memory-full': {
+    code: 5022,
+    status: 503,
+    text: 'This gateway has no room for the body of the request now. The request was not run.',
+  },
   'internal-error': {
     code: 5021,
     status: 500,
--- a/packages/gateway/src/requests/serve_request.ts
+++ b/packages/gateway/src/requests/serve_request.ts
@@ -3,8 +3,8 @@
 import {areHeadersValid, isRequestTarget} from '@cuminsill/utils';
 import {Effect} from 'effect';
 import type {AdmissionRecord} from '../admission';
-import type {CallerRequest} from './caller_request';
-import {readBody} from './caller_request';
+import type {BodyError, CallerRequest} from './caller_request';
+import {withBody} from './caller_request';
 import type {RequestDecision} from '../logs/decision_log';
 import type {FinalAnswer} from './final_answer';
 import {gatewayReasons, ownAnswer} from './final_answer';
@@ -25,6 +25,16 @@
 /** Timeout of requests when neither caller nor route sets one. */
 const defaultTimeoutMs = 30_000;
 const defaultRetryAfterMs = 250;
+/** A body that gets room later than this fraction of the time left would hardly be sent on in time. */
+const maxRoomWaitFraction = 0.5;
+/** Bodies are held for about as long as their requests run. */
+const noRoomRetryAfterMs = 500;
+/** The answers to requests whose bodies could not be read. */
+const bodyFailureAnswers: Readonly<Record<BodyError['failure'], FinalAnswer>> = {
+  'too-large': ownAnswer('body-too-large'),
+  'broken-off': ownAnswer('malformed-request'),
+  'no-room': ownAnswer('memory-full', noRoomRetryAfterMs),
+};
 /** Status of answers that promise that the request was not run. */
 const unavailableStatus = 503;
 /** How soon callers may retry after an immediate refusal, in milliseconds. */
@@ -125,16 +135,22 @@
     }
     const refusal = this.checkHead(routes);
     if (refusal !== undefined) return Effect.succeed(refusal);
-    return readBody(incoming, routes.configuration.limits.maxBodyBytes).pipe(
-      Effect.flatMap(body => this.forward(body)),
-      Effect.catchAll(error =>
-        Effect.succeed(
-          ownAnswer(error.failure === 'too-large' ? 'body-too-large' : 'malformed-request'),
-        ),
-      ),
+    const {maxBodyBytes} = routes.configuration.limits;
+    const limits = {
+      maxBytes: maxBodyBytes,
+      maxWaitMs: this.remainingMs() * maxRoomWaitFraction,
+    };
+    return withBody(incoming, parts.bodyMemory, limits, body => this.forward(body)).pipe(
+      Effect.catchAll(({failure}) => Effect.succeed(bodyFailureAnswers[failure])),
     );
   }
 
+  /** Time left until the timeout of the request, in milliseconds. */
+  private remainingMs(): number {
+    const timeoutMs = timeoutOf(this.head.deadlineMs, this.route?.timeoutMs);
+    return timeoutMs - (this.parts.time.monotonicMs() - this.context.arrivedAtMs);
+  }
+
   private checkHead(routes: RouteTable): FinalAnswer | undefined {
     const {incoming} = this;
     if (this.head.requestId === undefined || incoming.headers.host === undefined) {
@@ -170,7 +186,8 @@
       const fingerprint = fingerprintOf(request);
       this.fingerprint = fingerprint;
       if (parts.poison.isQuarantined(fingerprint)) return Effect.succeed(ownAnswer('quarantined'));
-      const deadlineMs = request.arrivedAtMs + timeoutOf(request, this.route);
+      const timeoutMs = timeoutOf(this.head.deadlineMs, this.route.timeoutMs);
+      const deadlineMs = request.arrivedAtMs + timeoutMs;
       const forwarded = {
         request,
         route: this.route,
@@ -294,11 +311,10 @@
   return isRequestTarget(url ?? '') && areHeadersValid(rawHeaders);
 }
 
-/** Timeout of the request, counted from its arrival, in milliseconds. */
-function timeoutOf(request: CallerRequest, route: RouteRule): number {
-  const {deadlineMs} = request.head;
+/** Timeout of a request, counted from its arrival, in milliseconds. */
+function timeoutOf(deadlineMs: number | undefined, routeTimeoutMs: number | undefined): number {
   const callerTimeoutMs = deadlineMs === undefined ? undefined : deadlineMs - returnReserveMs;
-  return Math.min(callerTimeoutMs ?? defaultTimeoutMs, route.timeoutMs ?? defaultTimeoutMs);
+  return Math.min(callerTimeoutMs ?? defaultTimeoutMs, routeTimeoutMs ?? defaultTimeoutMs);
 }
 
 /** True for the gateway's own answers that promise that no target has run the request. */
--- a/packages/standins/src/users_platform/endpoint_server.ts
+++ b/packages/standins/src/users_platform/endpoint_server.ts
@@ -31,7 +31,9 @@
   /** Runs the request and sends a head without end, until the caller closes the connection. */
   | 'endless-head'
   /** Runs the request and sends a body without end, until the caller closes the connection. */
-  | 'endless-body';
+  | 'endless-body'
+  /** Runs the request and sends short chunks without end, until the caller closes the connection. */
+  | 'endless-chunks';
 
 /** Options of an endpoint. */
 export interface EndpointOptions {
@@ -106,6 +108,8 @@
     early: answer => answer.reject(503),
     rewritten: answer => answer.sendRewritten(this.rewriteAnswer),
     'endless-head': answer => answer.sendEndless('HTTP/1.1 200 OK\r\n', 'Filler: x\r\n'),
+    'endless-chunks': answer =>
+      answer.sendEndless(answer.rawResponseHead('Transfer-Encoding: chunked'), shortChunk),
     'endless-body': answer => answer.sendEndless(answer.rawResponseHead('Connection: close'), 'x'),
   };
 
@@ -147,9 +151,9 @@
     this.options.observer?.onArrived(requestIdOf(request));
     const answer = new EndpointAnswer(this, request, response);
     const expected = request.headers['expect-instance'];
-    if (expected !== undefined && utf8TextOf(String(expected)) !== this.options.id)
-      {answer.reject(421);}
-    else this.admit(request, answer, this.options.script?.shift() ?? this.mode);
+    if (expected !== undefined && utf8TextOf(String(expected)) !== this.options.id) {
+      answer.reject(421);
+    } else this.admit(request, answer, this.options.script?.shift() ?? this.mode);
   }
 
   private admit(request: http.IncomingMessage, answer: EndpointAnswer, mode: AnswerMode): void {
@@ -226,6 +230,7 @@
 
 /** Length after which a cut body ends. */
 const cutAfterBytes = 8;
+const shortChunk = 'c\r\ndata: 1234\n\n\r\n';
 const piecesPerWrite = 4_096;
 const defaultBody = 'the answer of the endpoint';
 
--- a/packages/standins/src/users_platform/wire_objects.ts
+++ b/packages/standins/src/users_platform/wire_objects.ts
@@ -103,6 +103,8 @@
   readonly regions: Readonly<Record<string, string>>;
   readonly stopGraceS: number;
   readonly retryWindowS?: number;
+  /** Memory above which the platform ends the process, in megabytes. */
+  readonly memoryMb?: number;
   /** Bound on the revocation of keys; without it, revocation is not strict. */
   readonly keyRevocationMs?: number;
   /** How exactly quotas must hold, under the names of the template; missing when the platform limits no workspaces. */
@@ -114,6 +116,7 @@
 }
 
 const defaultRetryWindowS = 10;
+const defaultMemoryMb = 350;
 
 /** Placement of a gateway in tests with a single one. */
 export const defaultPlacement: GatewayPlacement = {
@@ -148,6 +151,7 @@
       ready: `${host}:${ports.ready}`,
       directory: `${host}:${ports.directory}`,
     },
+    limits: {memoryMb: place.memoryMb ?? defaultMemoryMb},
     bounds: {
       graceS: place.stopGraceS,
       stabilityMs: settleAfterDisruptionMs,
--- a/scripts/gateway_on_standins.mjs
+++ b/scripts/gateway_on_standins.mjs
@@ -12,10 +12,12 @@
 const workMs = 20;
 const readinessPollMs = 2;
 
-async function startPlatform(standins) {
+async function startPlatform(standins, configurationChanges) {
   const store = new standins.ObjectStoreServer();
   const storePort = await store.start();
-  store.table.create('config', 'main', {spec: standins.wireConfiguration(1)});
+  store.table.create('config', 'main', {
+    spec: standins.wireConfiguration(1, configurationChanges),
+  });
   const endpoints = [];
   for (let number = 0; number < targetCount; number += 1) {
     const id = `i-${number}`;
@@ -30,7 +32,7 @@
     store.table.create('servers', id, {spec: standins.wireEndpoint(port, {})});
     endpoints.push(endpoint);
   }
-  return {storePort, stop: () => [store, ...endpoints].forEach(server => server.stop())};
+  return {storePort, endpoints, stop: () => [store, ...endpoints].forEach(server => server.stop())};
 }
 
 /** Sends one request and returns its status; 0 if it got no answer. */
@@ -50,9 +52,10 @@
  * Starts the platform and a gateway, and waits until the gateway is ready.
  * @param standins Module with the stand-ins.
  * @param command Arguments of Node.js, up to the program and its options.
+ * @param configurationChanges Fields of the configuration that differ from the default.
  */
-export async function startGateway(standins, command) {
-  const platform = await startPlatform(standins);
+export async function startGateway(standins, command, configurationChanges = {}) {
+  const platform = await startPlatform(standins, configurationChanges);
   const [front, ready, directory, peer, metrics] = await standins.findFreePorts(host, 5);
   const ports = {front, ready, directory, peer, metrics, store: platform.storePort};
   const directoryName = mkdtempSync(join(tmpdir(), 'cuminsill-'));
@@ -76,5 +79,5 @@
     if (child.exitCode !== null) throw new Error(`the gateway exited with code ${child.exitCode}`);
     await wait(readinessPollMs);
   }
-  return {processId: child.pid, ports, stop};
+  return {processId: child.pid, ports, endpoints: platform.endpoints, stop};
 }
