--- a/packages/gateway/src/forwarding/forwarding.ts
+++ b/packages/gateway/src/forwarding/forwarding.ts
@@ -21,7 +21,6 @@
 import type {Exchange, ExchangeEnd} from './target_exchange';
 import {exchangeWithTarget} from './target_exchange';
 import {mayRetry} from './retry_rule';
-import {confirmWhole} from './unframed_answer';
 import {defaultRetryAfterMs, usableAgainAfterMs} from './usable_again';
 import {headersReplacedForTargets, keyRefusal} from './request_credentials';
 import {RelayAttempts} from './relay_attempts';
@@ -335,9 +334,7 @@
       if (target.isCold(startedAtMs)) target.coldLimiter.recordSend(startedAtMs);
       const elapsedMs = () => parts.time.monotonicMs() - startedAtMs;
       parts.paths.recordSend();
-      const isIdempotent = forwarded.route.repeat === 'idempotent';
       return Effect.suspend(() => exchangeWithTarget(this.exchangeParameters(target))).pipe(
-        Effect.flatMap(end => confirmWhole(parts, end, target, isIdempotent)),
         Effect.tap(end =>
           Effect.sync(() => this.recordEnd({...attempt, end, elapsedMs: elapsedMs()})),
         ),
--- a/packages/gateway/src/forwarding/relay_exchange.ts
+++ b/packages/gateway/src/forwarding/relay_exchange.ts
@@ -79,7 +79,7 @@
  */
 export function classifyRelayed(
   requestWire: RequestWire,
-  {requestId, method}: CallerRequest,
+  {requestId}: CallerRequest,
   complete: CompleteResponse,
 ): ExchangeEnd {
   const {response, firstByteMs} = complete;
@@ -88,7 +88,7 @@
   // Relays name the request in all their answers; another id belongs to an earlier request on the connection.
   if (head.requestId !== requestId) return lostResponse('answer to another request');
   const isSelfDelimited = headers[relayFramingHeader] !== closeDelimited;
-  const received = answerOf(complete, method, head);
+  const received = answerOf(complete, head);
   const answer = withoutRelayHeaders(received, isSelfDelimited);
   if (retryableReasons.has(headers[relayReasonHeader])) return {kind: 'declined', answer};
   return {kind: 'answered', answer, firstByteMs};
--- a/packages/gateway/src/forwarding/target_exchange.ts
+++ b/packages/gateway/src/forwarding/target_exchange.ts
@@ -9,7 +9,7 @@
 import type {Socket} from 'node:net';
 import type {SocketAddress} from '@cuminsill/types';
 import type {TimeSource} from '@cuminsill/utils';
-import {areHeadersValid, isFinalStatus, isHeaderText, mayResponseHaveBody} from '@cuminsill/utils';
+import {areHeadersValid, isFinalStatus, isHeaderText} from '@cuminsill/utils';
 import {Effect} from 'effect';
 import type {BodyOverflow} from '../memory/body_buffer';
 import {BodyBuffer} from '../memory/body_buffer';
@@ -289,7 +289,7 @@
   {headers, statusCode}: http.IncomingMessage,
   method: string,
 ): number | undefined {
-  if (!mayResponseHaveBody(method, statusCode ?? 0)) return 0;
+  if (method === 'HEAD' || statusCode === 204 || statusCode === 304) return 0;
   const length = headers['content-length'];
   return length === undefined ? undefined : Number(length);
 }
--- a/packages/gateway/src/requests/answer_writer.ts
+++ b/packages/gateway/src/requests/answer_writer.ts
@@ -1,6 +1,5 @@
 /** Writes the final answer of a request as HTTP. */
 import * as http from 'node:http';
-import {mayResponseHaveBody} from '@cuminsill/utils';
 import type {TargetAnswer} from '../forwarding/target_exchange';
 import {relayAnswerHeaders, relayHeaderNames} from '../forwarding/relay_wire';
 import type {GatewayParts} from '../gateway_parts';
@@ -27,8 +26,7 @@
 ): AnswerShape {
   if (answer.kind === 'own') return {bytes: 0, isSelfDelimited: true};
   const {body, isSelfDelimited} = answer.answer;
-  const hasLength =
-    isSelfDelimited || isForGateway || !mayResponseHaveBody(request.method, answer.answer.status);
+  const hasLength = isSelfDelimited || isForGateway || !mayHaveBody(request, answer.answer);
   return {bytes: body.length, isSelfDelimited: hasLength};
 }
 
@@ -89,7 +87,7 @@
   const replaced = isForGateway ? relayHeaderNames : noReplacedHeaders;
   const headers = [...relayHeaders, ...endToEndHeaders(answer.rawHeaders, replaced)];
   response.sendDate = false;
-  if (mayResponseHaveBody(request.method, answer.status)) {
+  if (mayHaveBody(request, answer)) {
     if (answer.isSelfDelimited || isForGateway) {
       headers.push('Content-Length', String(answer.body.length));
     } else {
@@ -99,3 +97,7 @@
   response.writeHead(answer.status, answer.statusText, headers);
   response.end(answer.body);
 }
+
+function mayHaveBody({method}: http.IncomingMessage, {status}: TargetAnswer): boolean {
+  return status !== 204 && status !== 304 && method !== 'HEAD';
+}
--- a/packages/gateway/src/targets/path_checker.ts
+++ b/packages/gateway/src/targets/path_checker.ts
@@ -3,7 +3,6 @@
  * failed, in different failure domains. While the gateway is isolated, it repeats that with others.
  */
 import type {GatewayParts} from '../gateway_parts';
-import {reaches} from './reach';
 import type {Target} from './target';
 import {shuffle} from '../peers/shuffle';
 
@@ -69,8 +68,21 @@
 
   private reaches({address, failureDomain}: Target): Promise<boolean> {
     const {dial, paths, roundTripTimes} = this.parts;
-    const timeoutMs = connectMarginMs + roundTripTimes.expectedMs(failureDomain);
-    // A connection counts at once, and not when all of the check are settled, because some may hang.
-    return reaches(dial, address, timeoutMs, () => paths.recordSuccess());
+    return new Promise(resolve => {
+      const socket = dial({host: address.host, port: address.port});
+      const end = (isReached: boolean) => {
+        clearTimeout(timer);
+        socket.destroy();
+        resolve(isReached);
+      };
+      const timeoutMs = connectMarginMs + roundTripTimes.expectedMs(failureDomain);
+      const timer = setTimeout(() => end(false), timeoutMs);
+      socket.once('error', () => end(false));
+      socket.once('connect', () => {
+        // At once, and not when all connections are settled, because some may hang.
+        paths.recordSuccess();
+        end(true);
+      });
+    });
   }
 }
--- a/packages/standins/src/users_platform/endpoint_server.ts
+++ b/packages/standins/src/users_platform/endpoint_server.ts
@@ -22,10 +22,6 @@
   | 'cut'
   /** Runs the request, answers without a content length and closes the connection in the middle of the body. */
   | 'unframed-cut'
-  /** The same, and the endpoint goes down with that: it no longer listens. */
-  | 'unframed-crash'
-  /** Runs the request, answers without a content length and closes the connection after the whole body. */
-  | 'unframed'
   /** Runs the request and sends its answer twice on the connection. */
   | 'extra'
   /** Rejects the request before its body has arrived and keeps the connection open. */
@@ -107,12 +103,7 @@
     lost: answer => answer.socket.resetAndDestroy(),
     silent: () => undefined,
     cut: answer => answer.sendCutAnswer(),
-    'unframed-cut': answer => answer.sendUnframedAnswer(cutAfterBytes),
-    'unframed-crash': answer => {
-      this.server.close();
-      answer.sendUnframedAnswer(cutAfterBytes);
-    },
-    unframed: answer => answer.sendUnframedAnswer(),
+    'unframed-cut': answer => answer.sendUnframedCutAnswer(),
     extra: answer => answer.sendAnswerTwice(),
     early: answer => answer.reject(503),
     rewritten: answer => answer.sendRewritten(this.rewriteAnswer),
@@ -298,11 +289,10 @@
     setImmediate(() => this.socket.destroy());
   }
 
-  /** @param bodyBytes Length after which the body ends; by default it is whole. */
-  sendUnframedAnswer(bodyBytes?: number): void {
+  sendUnframedCutAnswer(): void {
     this.notifyAnswered(200);
-    const body = this.body().slice(0, bodyBytes);
-    this.socket.end(`${this.rawResponseHead('Connection: close')}${body}`);
+    const start = this.body().slice(0, cutAfterBytes);
+    this.socket.end(`${this.rawResponseHead('Connection: close')}${start}`);
   }
 
   /** Sends the start, and then the piece again and again. */
--- a/packages/utils/src/http_syntax.ts
+++ b/packages/utils/src/http_syntax.ts
@@ -38,11 +38,6 @@
   return status >= minFinalStatus && status <= maxFinalStatus;
 }
 
-/** False for a response that has no body whatever its headers say. */
-export function mayResponseHaveBody(method: string | undefined, status: number): boolean {
-  return status !== 204 && status !== 304 && method !== 'HEAD';
-}
-
 /** True if all headers are well-formed; names and values by turns, as Node's `http` reads them. */
 export function areHeadersValid(rawHeaders: readonly string[]): boolean {
   return rawHeaders.every((text, index) =>
