Count a gateway that is heard again as listed, whatever the copy of the store says

One and a half times a workspace's quota ran (QUOTA): a gateway that was started again and one that the store turned away meanwhile both granted it.

Cause: the gateway that was turned away knew that the record of the other one had been removed, but not that it was back. It heard its heartbeats and still left it out of the ranking, dropped its claims as of an unknown sender and sent it no heartbeats.

The model of quotas uses the real peer table, with a store that turns gateways away and gateways that start again.

--- a/packages/gateway/__fixtures__/quota_model.ts
+++ b/packages/gateway/__fixtures__/quota_model.ts
@@ -1,7 +1,11 @@
 /** Gateways that share the quota of one workspace, over a simulated network and clock. */
 import type {RandomSource} from '@cuminsill/utils';
 import {ManualTime, seededRandom} from '@cuminsill/utils';
-import type {QuotaBounds, RequestQuota} from '../src/gateway_types';
+import type {GatewayRecord, QuotaBounds, RequestQuota} from '../src/gateway_types';
+import {PeerTable} from '../src/peers/peer_table';
+import {fleetOf} from '../src/quota/listed_fleet';
+import {rankOwners} from '../src/quota/quota_fleet';
+import {quotaFeature} from '../src/quota/quota_messages';
 import {QuotaOwner} from '../src/quota/quota_owner';
 import {QuotaShares} from '../src/quota/quota_shares';
 import type {QuotaVerdict} from '../src/quota/quota_verdict';
@@ -19,6 +23,10 @@
   isDead?(gateway: number, timeMs: number): boolean;
   isPaused?(gateway: number, timeMs: number): boolean;
   isLeaving?(gateway: number, timeMs: number): boolean;
+  /** Whether the store lists the gateway; by default it lists all. */
+  isListed?(gateway: number, timeMs: number): boolean;
+  /** Whether the store turns the gateway away, which then keeps its former list. */
+  isTurnedAway?(gateway: number, timeMs: number): boolean;
   readonly lossRatio?: number;
   readonly duplicateRatio?: number;
   readonly maxExtraDelayMs?: number;
@@ -33,6 +41,7 @@
 
 export const modelBounds: QuotaBounds = {windowMs: 5_000, overshootRatio: 0.1, slackRequests: 20};
 
+const workspace = 'w';
 const stepMs = 50;
 const heartbeatMs = 500;
 
@@ -46,6 +55,12 @@
   return new QuotaModel(schedule, seed).run();
 }
 
+/** Indexes of the gateways in the order in which they own the quota. */
+export function rankedGateways(gatewayCount: number): readonly number[] {
+  const gateways = Array.from({length: gatewayCount}, (_, index) => ({name: nameOf(index)}));
+  return rankOwners(workspace, gateways).map(({name}) => indexOf(name));
+}
+
 class QuotaModel {
   readonly ranAtMs: number[] = [];
   readonly refusedAtMs: number[] = [];
@@ -54,7 +69,8 @@
   private readonly time = new ManualTime(1_000_000);
   private readonly startMs = this.time.monotonicMs();
   private readonly queue = new Map<number, Delivery[]>();
-  private readonly gateways: readonly ModelGateway[];
+  private gateways: readonly ModelGateway[];
+  private dead: ReadonlySet<number> = new Set();
 
   constructor(
     readonly schedule: QuotaSchedule,
@@ -65,6 +81,13 @@
     this.gateways = indexes.map(index => new ModelGateway(this, index, this.time, this.random));
   }
 
+  /** Indexes of the gateways that the store lists now. */
+  get listed(): readonly number[] {
+    const {gatewayCount, isListed} = this.schedule;
+    const indexes = Array.from({length: gatewayCount}, (_, index) => index);
+    return indexes.filter(index => isListed?.(index, this.nowMs) ?? true);
+  }
+
   get nowMs(): number {
     return this.time.monotonicMs() - this.startMs;
   }
@@ -73,6 +96,7 @@
     const {durationMs} = this.schedule;
     while (this.nowMs < durationMs) {
       this.time.advance(stepMs);
+      this.restartGateways();
       const due = this.queue.get(this.nowMs) ?? [];
       this.queue.delete(this.nowMs);
       for (const {receiver, run} of due) this.deliver(receiver, run);
@@ -82,6 +106,19 @@
     return {ranAtMs, refusedAtMs, messageCount};
   }
 
+  /** A process that starts again knows nothing of before. */
+  private restartGateways(): void {
+    const {isDead} = this.schedule;
+    const isDeadNow = (index: number) => isDead?.(index, this.nowMs) === true;
+    this.gateways = this.gateways.map(gateway =>
+      this.dead.has(gateway.index) && !isDeadNow(gateway.index)
+        ? new ModelGateway(this, gateway.index, this.time, this.random)
+        : gateway,
+    );
+    const indexes = this.gateways.map(({index}) => index);
+    this.dead = new Set(indexes.filter(isDeadNow));
+  }
+
   send(from: number, to: number, run: (receiver: ModelGateway) => void): void {
     const {isCut, lossRatio = 0, duplicateRatio = 0, maxExtraDelayMs = 0} = this.schedule;
     if (isCut?.(from, to, this.nowMs) === true || this.random.next() < lossRatio) return;
@@ -118,8 +155,10 @@
 }
 
 class ModelGateway {
-  private readonly heardAtMs = new Map<number, number>();
-  private readonly leaving = new Set<number>();
+  private readonly peers: PeerTable;
+  private readonly startedAtMs: number;
+  private sequence = 0;
+  private listKey: string | undefined;
   private readonly owner: QuotaOwner;
   private readonly shares: QuotaShares;
   private nextHeartbeatMs: number;
@@ -131,27 +170,16 @@
     private readonly random: RandomSource,
   ) {
     const {schedule} = model;
-    const indexes = Array.from({length: schedule.gatewayCount}, (_, other) => other);
-    const others = indexes.filter(other => other !== index);
-    const ageMs = (other: number) =>
-      this.time.monotonicMs() - (this.heardAtMs.get(other) ?? Number.NEGATIVE_INFINITY);
-    const fleet = {
-      ownName: nameOf(index),
-      peers: () =>
-        others.map(other => ({
-          name: nameOf(other),
-          heartbeatAgeMs: ageMs(other),
-          isLeaving: this.leaving.has(other),
-        })),
-      countAlive: (maxMs: number) => 1 + others.filter(other => ageMs(other) <= maxMs).length,
-      size: () => schedule.gatewayCount,
-      isLeaving: () => schedule.isLeaving?.(index, model.nowMs) === true,
-    };
+    this.startedAtMs = time.nowMs();
+    this.peers = new PeerTable(recordOf(index), time);
+    const isLeaving = () => schedule.isLeaving?.(index, model.nowMs) === true;
+    const fleet = fleetOf(this.peers, () => modelBounds.windowMs, isLeaving);
+    this.readList();
     this.owner = new QuotaOwner({
       time,
       fleet,
       ruleOf: () => ({quota: schedule.quotaAt(model.nowMs), bounds: modelBounds}),
-      limitedWorkspaces: () => ['w'],
+      limitedWorkspaces: () => [workspace],
       sendClaim: (receiver, claim) =>
         this.send(receiver, to => to.reply(this, to.owner.answerClaim(fleet.ownName, claim))),
     });
@@ -177,6 +205,7 @@
 
   step(): void {
     const {nowMs, schedule} = this.model;
+    if (schedule.isTurnedAway?.(this.index, nowMs) !== true) this.readList();
     if (nowMs >= this.nextHeartbeatMs) this.sendHeartbeat(nowMs);
     this.owner.tick();
     this.shares.tick();
@@ -191,22 +220,35 @@
     this.nextHeartbeatMs = nowMs + heartbeatMs;
     const {schedule} = this.model;
     const isLeaving = schedule.isLeaving?.(this.index, nowMs) === true;
-    const sentAtMs = this.time.monotonicMs();
-    for (let other = 0; other < schedule.gatewayCount; other += 1) {
-      if (other === this.index) continue;
-      this.model.send(this.index, other, to => {
-        to.heardAtMs.set(this.index, Math.max(to.heardAtMs.get(this.index) ?? 0, sentAtMs));
-        if (isLeaving) to.leaving.add(this.index);
-      });
+    this.sequence += 1;
+    const {name, startedAtMs, sequence} = this;
+    const state = isLeaving ? 'leaving' : 'serving';
+    for (const peer of this.peers.otherGateways()) {
+      this.model.send(this.index, indexOf(peer.name), to =>
+        to.peers.recordHeartbeat({name, startedAtMs, sequence, state}),
+      );
     }
   }
 
+  private readList(): void {
+    const {listed} = this.model;
+    const key = listed.join();
+    if (key === this.listKey) return;
+    this.listKey = key;
+    const objects = listed.map(index => ({
+      name: nameOf(index),
+      revision: 1,
+      content: recordOf(index),
+    }));
+    this.peers.replace({objects, revision: 1});
+  }
+
   private request(): void {
     const onVerdict = ({kind}: QuotaVerdict) => {
       const list = kind === 'within' ? this.model.ranAtMs : this.model.refusedAtMs;
       list.push(this.model.nowMs);
     };
-    const verdict = this.shares.take('w', {resolve: onVerdict});
+    const verdict = this.shares.take(workspace, {resolve: onVerdict});
     if (verdict !== undefined) onVerdict(verdict);
   }
 
@@ -216,12 +258,32 @@
   }
 
   private send(receiver: string, run: (to: ModelGateway) => void): void {
-    const to = Number(receiver.slice(1));
-    if (to !== this.index) this.model.messageCount += 1;
-    this.model.send(this.index, to, run);
+    const to = indexOf(receiver);
+    const isOwn = to === this.index;
+    if (!isOwn && this.peers.findGateway(receiver) === undefined) return;
+    if (!isOwn) this.model.messageCount += 1;
+    this.model.send(this.index, to, other => {
+      if (isOwn || other.peers.findGateway(this.name) !== undefined) run(other);
+    });
   }
 }
 
+function recordOf(index: number): GatewayRecord {
+  const address = {host: '127.0.0.1', port: index + 1};
+  return {
+    name: nameOf(index),
+    region: 'a',
+    failureDomain: 'a-1',
+    callerAddress: address,
+    peerAddress: address,
+    features: [quotaFeature],
+  };
+}
+
+function indexOf(name: string): number {
+  return Number(name.slice(1));
+}
+
 function nameOf(index: number): string {
   return `g${index}`;
 }
--- a/packages/gateway/__tests__/peer_table.test.ts
+++ b/packages/gateway/__tests__/peer_table.test.ts
@@ -2,6 +2,7 @@
 import type {GatewayRecord} from '../src/gateway_types';
 import {decodePeerMessage, encodePeerMessage} from '../src/peers/peer_message';
 import {maxDirectPeers} from '../src/peers/peer_gossip';
+import type {PeerHeartbeat} from '../src/peers/peer_table';
 import {PeerTable, heartbeatTimeoutMs} from '../src/peers/peer_table';
 
 function record(name: string): GatewayRecord {
@@ -226,4 +227,51 @@
       'answers' in changes ? [{fingerprint: 'g', answeredAtMs: 6}] : [],
     );
   });
+
+  interface RemovalCase {
+    readonly name: string;
+    /** Heartbeat after the removal of the record; none if undefined. */
+    readonly heard: Partial<PeerHeartbeat> | undefined;
+    readonly silentForMs: number;
+    readonly isKnown: boolean;
+  }
+
+  const removals: readonly RemovalCase[] = [
+    {name: 'is silent', heard: undefined, silentForMs: 0, isKnown: false},
+    {name: 'still leaves', heard: {state: 'leaving'}, silentForMs: 0, isKnown: false},
+    {name: 'goes on', heard: {}, silentForMs: 0, isKnown: true},
+    {name: 'has started again', heard: {startedAtMs: 200}, silentForMs: 0, isKnown: true},
+    {
+      name: 'has started again and fallen silent',
+      heard: {startedAtMs: 200},
+      silentForMs: heartbeatTimeoutMs + 1,
+      isKnown: false,
+    },
+  ];
+
+  /**
+   * Guards against a gateway that the store turns away while another one starts again: it takes that one for gone, and both own
+   * the quota of a workspace.
+   */
+  test.each(removals)('a gateway without a record that $name', ({heard, silentForMs, isKnown}) => {
+    const {time, table, serving} = setUp();
+    table.recordHeartbeat({...heartbeat, sequence: 1});
+    time.advance(10);
+    table.apply({
+      changes: [{object: {name: 'p', revision: 2, content: record('p')}, deleted: true}],
+      revision: 2,
+    });
+    time.advance(10);
+    if (heard !== undefined) table.recordHeartbeat({...heartbeat, sequence: 2, ...heard});
+    time.advance(silentForMs);
+    expect(table.findGateway('p') !== undefined).toBe(isKnown);
+    expect(serving().includes('p')).toBe(isKnown);
+    expect(
+      table
+        .otherGateways()
+        .map(({name}) => name)
+        .includes('p'),
+    ).toBe(isKnown);
+    expect(table.isGatewayHost('127.0.0.1')).toBe(true);
+  });
 });
--- a/packages/gateway/__tests__/quota_model.test.ts
+++ b/packages/gateway/__tests__/quota_model.test.ts
@@ -5,7 +5,7 @@
 import {randomBelow, seededRandom} from '@cuminsill/utils';
 import type {RequestQuota} from '../src/gateway_types';
 import type {QuotaOutcome, QuotaSchedule} from '../__fixtures__/quota_model';
-import {modelBounds, runQuotaModel} from '../__fixtures__/quota_model';
+import {modelBounds, rankedGateways, runQuotaModel} from '../__fixtures__/quota_model';
 
 /** Part of the schedules that CI runs; `npm run model:quotas` runs all, 10,300, which takes minutes. */
 const fractionOfSchedules = Number(process.env['FRACTION_OF_SCHEDULES'] ?? 0.1);
@@ -124,6 +124,27 @@
       demandAt: (gateway, timeMs) => (timeMs < draw.endMs ? 0 : hotThroughTwo(draw)(gateway)),
     }),
   },
+  {
+    name: 'a gateway starts again while the store turns another one away and demand is hot',
+    count: 400,
+    change: draw => {
+      const {eventMs, gatewayCount} = draw;
+      const [chosen, other] = rankedGateways(gatewayCount);
+      const isWithin = (timeMs: number, fromMs: number, untilMs: number) =>
+        timeMs >= eventMs + fromMs && timeMs < eventMs + untilMs;
+      return {
+        durationMs: 16_000,
+        quotaAt: () => largeQuota,
+        demandAt: even(draw, largeQuota.ratePerS * 4),
+        isLeaving: (gateway, timeMs) => gateway === chosen && isWithin(timeMs, 0, restartMs),
+        isDead: (gateway, timeMs) => gateway === chosen && isWithin(timeMs, 1_500, restartMs),
+        isListed: (gateway, timeMs) =>
+          gateway !== chosen || !isWithin(timeMs, removalMs, restartMs + registrationMs),
+        isTurnedAway: (gateway, timeMs) =>
+          gateway === other && isWithin(timeMs, restartMs - 500, restartMs + turnedAwayMs),
+      };
+    },
+  },
   {
     name: 'datagrams lost, late, doubled and out of order while hot',
     count: 1000,
@@ -136,6 +157,14 @@
   },
 ];
 
+/** The store lists a gateway that starts again from some time after its start; its stop removes the record. */
+const restartMs = 2_500;
+const removalMs = 500;
+const registrationMs = 300;
+const turnedAwayMs = 9_000;
+/** Large beside the slack, which would hide a limit that is granted one and a half times. */
+const largeQuota: RequestQuota = {ratePerS: 100, burst: 50};
+
 function drawSchedule(seed: number): Draw {
   const random = seededRandom(seed);
   const gatewayCount = [2, 3, 4, 6][randomBelow(random, 4)] ?? 4;
--- a/packages/gateway/src/peers/peer_table.ts
+++ b/packages/gateway/src/peers/peer_table.ts
@@ -1,6 +1,7 @@
 /**
  * Tracks which other gateways serve callers. The store lists them and their heartbeats show which are alive, so that
- * a crashed gateway leaves the look-up answers without a write to the store.
+ * a crashed gateway leaves the look-up answers without a write to the store. A gateway that is heard again after its record
+ * was removed counts as listed: the store may serve its new record to the others and turn this gateway away.
  */
 import type {TimeSource} from '@cuminsill/utils';
 import {hash32} from '@cuminsill/utils';
@@ -46,6 +47,9 @@
 /** Bounds the size of a datagram to about 12 kB. */
 const maxRelayedHeartbeats = 500;
 
+/** Former records of gateways that are not heard again are forgotten after this time, longer than a restart takes. */
+const maxFormerRecordAgeMs = 60_000;
+
 /** Earlier sizes of the fleet are remembered for this long, longer than the windows of limits. */
 const maxSizeAgeMs = 60_000;
 
@@ -55,6 +59,12 @@
   readonly endedAtMs: number;
 }
 
+/** The record of a gateway that the store no longer lists. */
+interface FormerRecord {
+  readonly record: GatewayRecord;
+  readonly removedAtMs: number;
+}
+
 interface ReceivedHeartbeat {
   readonly heartbeat: PeerHeartbeat;
   /** When it was sent, as far as this gateway can tell. */
@@ -64,6 +74,7 @@
 /** The listed gateways and their latest heartbeats. */
 export class PeerTable {
   private records: ReadonlyMap<string, GatewayRecord> = new Map();
+  private formerRecords: ReadonlyMap<string, FormerRecord> = new Map();
   private hasList = false;
   /** Earlier numbers of records, as long as they may still matter. */
   private earlierSizes: readonly EarlierSize[] = [];
@@ -150,9 +161,18 @@
     return this.records.has(this.ownRecord.name);
   }
 
-  /** All listed gateways except this one. */
+  /** All listed gateways except this one, and those that were heard again since their record was removed. */
   otherGateways(): readonly GatewayRecord[] {
-    return [...this.records.values()].filter(({name}) => name !== this.ownRecord.name);
+    const listed = [...this.records.values()].filter(({name}) => name !== this.ownRecord.name);
+    return [...listed, ...this.heardFormerGateways()];
+  }
+
+  private heardFormerGateways(): readonly GatewayRecord[] {
+    return [...this.formerRecords.values()].flatMap(({record, removedAtMs}) => {
+      const received = this.lastHeartbeats.get(record.name);
+      if (received === undefined || received.heardAtMs <= removedAtMs) return [];
+      return received.heartbeat.state !== 'leaving' && this.isAlive(record.name) ? [record] : [];
+    });
   }
 
   /** Other gateways that are alive, serve callers and reach targets. */
@@ -165,9 +185,12 @@
     return this.peersIn('isolated');
   }
 
-  /** The record of another listed gateway; undefined when the store does not list it. */
+  /** The record of another gateway; undefined when it is none of `otherGateways`. */
   findGateway(name: string): GatewayRecord | undefined {
-    return name === this.ownRecord.name ? undefined : this.records.get(name);
+    if (name === this.ownRecord.name) return undefined;
+    return (
+      this.records.get(name) ?? this.heardFormerGateways().find(former => former.name === name)
+    );
   }
 
   /** Other gateways that are alive, in any state. */
@@ -175,9 +198,10 @@
     return this.otherGateways().filter(({name}) => this.isAlive(name));
   }
 
-  /** True for the host of a listed gateway. Only gateways may ask others to relay requests. */
+  /** True for the host of a gateway. Only gateways may ask others to relay requests. */
   isGatewayHost(host: string | undefined): boolean {
-    return [...this.records.values()].some(({peerAddress}) => peerAddress.host === host);
+    const gateways = [...this.records.values(), ...this.heardFormerGateways()];
+    return gateways.some(({peerAddress}) => peerAddress.host === host);
   }
 
   /**
@@ -237,8 +261,25 @@
       const recent = this.earlierSizes.filter(size => endedAtMs - size.endedAtMs <= maxSizeAgeMs);
       this.earlierSizes = [...recent, {size: this.records.size, endedAtMs}];
     }
+    this.formerRecords = this.formerRecordsAfter(records, endedAtMs);
     this.records = records;
-    this.nameByHash = new Map([...records.keys()].map(name => [hash32(name), name]));
+    const names = [...this.formerRecords.keys(), ...records.keys()];
+    this.nameByHash = new Map(names.map(name => [hash32(name), name]));
+  }
+
+  private formerRecordsAfter(
+    records: ReadonlyMap<string, GatewayRecord>,
+    nowMs: number,
+  ): ReadonlyMap<string, FormerRecord> {
+    const removed = [...this.records.values()].map(record => ({record, removedAtMs: nowMs}));
+    const kept = [...this.formerRecords.values(), ...removed].filter(
+      ({record: {name}, removedAtMs}) => {
+        const heardAtMs = this.lastHeartbeats.get(name)?.heardAtMs ?? removedAtMs;
+        const isRecent = nowMs - Math.max(removedAtMs, heardAtMs) <= maxFormerRecordAgeMs;
+        return isRecent && !records.has(name) && name !== this.ownRecord.name;
+      },
+    );
+    return new Map(kept.map(former => [former.record.name, former]));
   }
 
   private peersIn(state: PeerState): readonly GatewayRecord[] {
--- a/packages/gateway/src/quota/shared_quotas.ts
+++ b/packages/gateway/src/quota/shared_quotas.ts
@@ -8,7 +8,6 @@
 import type {CoordinationChannel, CoordinationMessage} from '../peers/coordination_channel';
 import type {PeerTable} from '../peers/peer_table';
 import type {QuotaRule} from './owned_workspace';
-import type {QuotaFleet} from './quota_fleet';
 import type {QuotaReport} from './quota_messages';
 import {
   decodeClaim,
@@ -21,6 +20,7 @@
   quotaGrantKind,
   quotaReportKind,
 } from './quota_messages';
+import {fleetOf} from './listed_fleet';
 import {QuotaOwner} from './quota_owner';
 import {QuotaShares} from './quota_shares';
 import type {QuotaVerdict} from './quota_verdict';
@@ -50,7 +50,8 @@
 
   constructor(private readonly parts: SharedQuotaParts) {
     const {time, startedAtMs, log, coordination} = parts;
-    const fleet = fleetOf(parts);
+    const windowMs = () => parts.bounds()?.windowMs ?? 0;
+    const fleet = fleetOf(parts.peers, windowMs, parts.isLeaving);
     this.owner = new QuotaOwner({
       time,
       fleet,
@@ -163,24 +164,3 @@
     this.parts.metrics.quotaMessage(label);
   }
 }
-
-function fleetOf({peers, bounds, isLeaving}: SharedQuotaParts): QuotaFleet {
-  return {
-    ownName: peers.ownRecord.name,
-    peers: () =>
-      peers
-        .otherGateways()
-        .filter(({features}) => features?.includes(quotaFeature) === true)
-        .map(({name}) => ({
-          name,
-          heartbeatAgeMs: peers.heartbeatAgeMs(name),
-          isLeaving: peers.isLeaving(name),
-        })),
-    countAlive: maxHeartbeatAgeMs =>
-      1 +
-      peers.otherGateways().filter(({name}) => peers.heartbeatAgeMs(name) <= maxHeartbeatAgeMs)
-        .length,
-    size: () => peers.fleetSize(bounds()?.windowMs ?? 0),
-    isLeaving,
-  };
-}
