Give up answers in too many short chunks before their deadline

A read got 504 beside load, although another target could answer it: an answer without end in chunks of 12 bytes was read up to 16 MiB, 1.4 million events, which took the processor until the deadline of the request had passed.

Cause: the largest size of an answer counts bytes, and the processor's time goes by chunks.

Change: a chunk of an answer counts as 128 bytes at least towards that size. Uploads of callers are not limited so.

--- a/packages/gateway/__tests__/body_memory.test.ts
+++ b/packages/gateway/__tests__/body_memory.test.ts
@@ -113,3 +113,18 @@
   const body = new BodyBuffer({reservation, maxBytes, knownBytes: undefined});
   expect(body.add(Buffer.from('hello'))).toBe(overflow);
 });
+
+/** Guards against an answer in short chunks without end that takes the processor until its deadline has passed. */
+test('short chunks are given up long before their bytes reach the largest size', () => {
+  const maxBytes = 1_000_000;
+  const body = new BodyBuffer({
+    reservation: unlimited,
+    maxBytes,
+    maxWeightBytes: maxBytes,
+    knownBytes: undefined,
+  });
+  const chunk = Buffer.from('data: 1234\n\n');
+  let added = 0;
+  while (body.add(chunk) === undefined) added += 1;
+  expect(added * chunk.length).toBeLessThan(maxBytes / 5);
+});
--- a/packages/gateway/src/forwarding/target_exchange.ts
+++ b/packages/gateway/src/forwarding/target_exchange.ts
@@ -210,7 +210,12 @@
     // Until there is room for the whole body, none of it is read.
     this.giveUpWait = this.exchange.memory.whenRoom(knownBytes ?? 0, reservation => {
       this.reservation = reservation;
-      const body = new BodyBuffer({reservation, maxBytes: maxAnswerBytes, knownBytes});
+      const body = new BodyBuffer({
+        reservation,
+        maxBytes: maxAnswerBytes,
+        maxWeightBytes: maxAnswerBytes,
+        knownBytes,
+      });
       this.readBody(response, body, () =>
         this.onComplete(response, body.bytes(), firstByteMs, isEarlyAnswer),
       );
@@ -281,6 +286,7 @@
 
 const overflowTexts: Readonly<Record<BodyOverflow, string>> = {
   'too-large': 'answer too large',
+  'too-many-chunks': 'answer in too many chunks',
   'no-room': 'no room for the answer',
 };
 
--- a/packages/gateway/src/memory/body_buffer.ts
+++ b/packages/gateway/src/memory/body_buffer.ts
@@ -6,15 +6,19 @@
 
 const firstCapacityBytes = 16 * 1024;
 const growthFactor = 2;
+/** Handling a chunk takes as long as copying some hundred bytes, so a shorter one counts as this much. */
+const minChunkWeightBytes = 128;
 
 /** Why a chunk could not be added. */
-export type BodyOverflow = 'too-large' | 'no-room';
+export type BodyOverflow = 'too-large' | 'too-many-chunks' | 'no-room';
 
 /** Parameters of a body. */
 export interface BodyBufferOptions {
   readonly reservation: BodyReservation;
   /** Largest body that is accepted, in bytes. */
   readonly maxBytes: number;
+  /** Weight of all chunks that is accepted, in bytes; without a limit if left out. */
+  readonly maxWeightBytes?: number;
   /** Length of the body, which the reservation covers; undefined when it is not known beforehand. */
   readonly knownBytes: number | undefined;
 }
@@ -25,14 +29,17 @@
 export class BodyBuffer {
   private buffer: Buffer = noBytes;
   private length = 0;
+  private weight = 0;
 
   constructor(private readonly options: BodyBufferOptions) {}
 
   /** Adds a chunk; returns why it could not be added, or undefined. */
   add(chunk: Buffer): BodyOverflow | undefined {
-    const {maxBytes, knownBytes} = this.options;
+    const {maxBytes, maxWeightBytes = Infinity, knownBytes} = this.options;
     const needed = this.length + chunk.length;
     if (needed > maxBytes) return 'too-large';
+    this.weight += Math.max(chunk.length, minChunkWeightBytes);
+    if (this.weight > maxWeightBytes) return 'too-many-chunks';
     if (needed === knownBytes && this.length === 0) {
       this.buffer = chunk;
     } else {
--- a/packages/gateway/src/requests/caller_request.ts
+++ b/packages/gateway/src/requests/caller_request.ts
@@ -1,7 +1,7 @@
 /** Reads a caller's whole request, so that it can be sent to another target when one did not run it. */
 import type {IncomingMessage} from 'node:http';
 import {Effect} from 'effect';
-import type {BodyBufferOptions} from '../memory/body_buffer';
+import type {BodyBufferOptions, BodyOverflow} from '../memory/body_buffer';
 import {BodyBuffer} from '../memory/body_buffer';
 import type {BodyMemory, BodyReservation} from '../memory/body_memory';
 import type {CallerHead} from './request_wire';
@@ -26,7 +26,7 @@
 export class BodyError extends Error {
   override readonly name = 'BodyError';
 
-  constructor(readonly failure: 'too-large' | 'broken-off' | 'no-room') {
+  constructor(readonly failure: BodyOverflow | 'broken-off') {
     super(failure);
   }
 }
--- a/packages/gateway/src/requests/serve_request.ts
+++ b/packages/gateway/src/requests/serve_request.ts
@@ -32,6 +32,7 @@
 /** The answers to requests whose bodies could not be read. */
 const bodyFailureAnswers: Readonly<Record<BodyError['failure'], FinalAnswer>> = {
   'too-large': ownAnswer('body-too-large'),
+  'too-many-chunks': ownAnswer('body-too-large'),
   'broken-off': ownAnswer('malformed-request'),
   'no-room': ownAnswer('memory-full', noRoomRetryAfterMs),
 };
