--- a/packages/gateway/__tests__/second_answers.test.ts
+++ b/packages/gateway/__tests__/second_answers.test.ts
@@ -29,6 +29,8 @@
   `HTTP/1.1 200 OK\r\nRequest-Id: ${id}\r\nContent-Length: ${id.length}\r\n\r\n${id}`;
 
 let server: net.Server;
+/** Connection on which the first request was answered. */
+let firstConnection: net.Socket | undefined;
 let connections: TargetConnections;
 
 beforeEach(() => (connections = new TargetConnections(net.connect)));
@@ -45,11 +47,9 @@
     socket.on('data', data => {
       const id = /request-id: (.*)\r/i.exec(String(data))?.[1] ?? '';
       const isFirst = id === 'first';
+      if (isFirst) firstConnection = socket;
       if (isFirst && copyTime === 'in the same packet') socket.write(answerTo(id));
       socket.write(answerTo(id));
-      if (isFirst && copyTime === 'while the connection is idle') {
-        setTimeout(() => socket.write(answerTo(id)), 20);
-      }
     });
     socket.prependListener('data', data => {
       if (hasCopied || copyTime !== 'after the next request') return;
@@ -60,6 +60,15 @@
   await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
 }
 
+/** Sends the copy and waits until the gateway has closed the connection because of it. */
+async function sendCopyWhileIdle(): Promise<void> {
+  const connection = firstConnection;
+  if (connection === undefined) throw new Error('no request was received');
+  const closed = new Promise(resolve => connection.once('close', resolve));
+  connection.write(answerTo('first'));
+  await closed;
+}
+
 function exchange(id: string, classify: Exchange['classify']): Promise<ExchangeEnd> {
   const {port} = server.address() as AddressInfo;
   return Effect.runPromise(
@@ -104,9 +113,7 @@
     for (const id of ['first', 'second', 'third']) {
       const end = await exchange(id, classifierOf(id));
       bodies.push(end.kind === 'answered' ? `${id} ${String(end.answer.body)}` : id);
-      if (copyTime === 'while the connection is idle') {
-        await new Promise(resolve => setTimeout(resolve, 50));
-      }
+      if (id === 'first' && copyTime === 'while the connection is idle') await sendCopyWhileIdle();
     }
     const isLost = copyTime === 'after the next request';
     expect(bodies).toEqual(['first first', isLost ? 'second' : 'second second', 'third third']);
