--- a/packages/gateway/src/logs/defects.ts
+++ b/packages/gateway/src/logs/defects.ts
@@ -15,6 +15,7 @@
     private readonly metrics: Pick<GatewayMetrics, 'defectCaught'>,
   ) {}
 
+  /** Logs and counts an exception, with the place where it was caught. */
   record(place: DefectPlace, error: unknown): void {
     this.metrics.defectCaught(place);
     this.log.event('defect', {place, cause: causeOf(error)});
--- a/packages/gateway/src/memory/body_memory.ts
+++ b/packages/gateway/src/memory/body_memory.ts
@@ -1,7 +1,8 @@
 /**
  * Bounds the bytes of bodies that a gateway holds, of callers, targets and relays together. A body whose length is known
  * reserves it as a whole before it is read, so that no body waits for room while it holds some; one without a length
- * reserves as it grows and is given up without room. Large bodies leave a part of the room to small ones, which never wait.
+ * reserves as it grows and is given up without room. Large bodies leave a part of the room to small ones, which do not queue
+ * behind them.
  */
 import {Effect} from 'effect';
 
@@ -10,7 +11,7 @@
 const bodyFraction = 0.25;
 /** Fraction of the room for bodies that large bodies may use. */
 const largeBodyFraction = 0.8;
-/** A body up to this size is small. */
+/** A body up to this size counts as small, in bytes. */
 export const maxSmallBodyBytes = 64 * 1024;
 
 /** The room of one process. */
--- a/packages/gateway/src/peers/heartbeat_receiver.ts
+++ b/packages/gateway/src/peers/heartbeat_receiver.ts
@@ -22,6 +22,7 @@
     private readonly onNewSender: () => void,
   ) {}
 
+  /** Records the sender's state, the heartbeats that it passes on, and its evidence of poison requests. */
   receive(message: PeerMessage): void {
     const {peers, poison} = this.consumers;
     this.reportUnreadableEntries(message);
