Log what a gateway knows of the other senders when it sends to a cold target

The line of a request named the target, not whether it counted as cold, and not how many gateways the sender knew. So the hypotheses on the flood of a cold target could not be told apart by a log: many senders that each know nobody, one that sends twice, or gateways for which the target was warm. No decision changes.

--- a/packages/gateway/__tests__/explain_request.test.ts
+++ b/packages/gateway/__tests__/explain_request.test.ts
@@ -43,6 +43,16 @@
   expect(text).not.toContain('i-9');
 });
 
+/** Guards against too many requests to a cold target of which nobody can tell which gateways took themselves for senders. */
+test('tells what the gateway knew of the other senders to a cold target', () => {
+  const coldSend = {senderRank: 3, rankedGateways: 87};
+  const tries = [{targetId: 'i-0', end: 'answered', elapsedMs: 9, coldSend}];
+  const [explanation] = explainRequest(line('request', 100, {...lost, tries}), 'r-1');
+  expect(explanation?.decision).toContain(
+    'target i-0 answered, 9 ms; it counted as cold, this gateway has rank 3 of 87 as a sender',
+  );
+});
+
 /** Guards against refusals for want of capacity that an operator cannot tell apart. */
 test.each([
   ['deadline', 'refused because its answer would come after its deadline'],
--- a/packages/gateway/src/forwarding/attempt_record.ts
+++ b/packages/gateway/src/forwarding/attempt_record.ts
@@ -3,6 +3,7 @@
 import {ownAnswer} from '../requests/final_answer';
 import type {AttemptEnd, AttemptsState} from './retry_rule';
 import {mayHaveRun, sentCountOf} from './retry_rule';
+import type {ColdSend} from './record_exchange_start';
 import type {ExchangeEnd, TargetAnswer} from './target_exchange';
 
 /** How one attempt ended; written to the log. */
@@ -12,11 +13,18 @@
   readonly elapsedMs: number;
   /** Whether the target had handled the object of the request for this gateway lately; left out without an object. */
   readonly isHeld?: boolean;
+  /** Left out when the target did not count as cold. */
+  readonly coldSend?: ColdSend;
   readonly detail?: string;
   /** True when the connection had carried an earlier request; only for lost connections. */
   readonly reusedConnection?: boolean;
 }
 
+/** What the gateway knew of the target when it sent the request. */
+export type SendView = {
+  readonly [Field in 'isHeld' | 'coldSend']?: AttemptSummary[Field] | undefined;
+};
+
 /** Attempts of one request. */
 export class AttemptRecord {
   readonly attemptedTargetIds = new Set<string>();
@@ -62,20 +70,21 @@
   }
 
   /** Records the end of an attempt. */
-  recordEnd(targetId: string, end: ExchangeEnd, elapsedMs: number, isHeld?: boolean): void {
+  recordEnd(targetId: string, end: ExchangeEnd, elapsedMs: number, view: SendView = {}): void {
     this.inFlightCount -= 1;
     const detail = 'detail' in end ? {detail: end.detail} : {};
     const connection = end.kind === 'lost' ? {reusedConnection: end.reusedConnection} : {};
-    const held = isHeld === undefined ? {} : {isHeld};
-    const summary = {targetId, end: end.kind, elapsedMs: Math.round(elapsedMs), ...held};
+    const known = knownFields(view);
+    const summary = {targetId, end: end.kind, elapsedMs: Math.round(elapsedMs), ...known};
     this.attempts.push({...summary, ...detail, ...connection});
     if (end.kind === 'answered') this.failedAnswer = {answer: end.answer, targetId};
   }
 
   /** Records that this gateway cancelled an attempt. */
-  recordCancel(targetId: string, elapsedMs: number): void {
+  recordCancel(targetId: string, elapsedMs: number, {coldSend}: SendView = {}): void {
     this.inFlightCount -= 1;
-    this.attempts.push({targetId, end: 'cancelled', elapsedMs: Math.round(elapsedMs)});
+    const known = knownFields({coldSend});
+    this.attempts.push({targetId, end: 'cancelled', elapsedMs: Math.round(elapsedMs), ...known});
   }
 
   /**
@@ -102,6 +111,13 @@
   }
 }
 
+function knownFields({isHeld, coldSend}: SendView): Pick<AttemptSummary, 'isHeld' | 'coldSend'> {
+  return {
+    ...(isHeld === undefined ? {} : {isHeld}),
+    ...(coldSend === undefined ? {} : {coldSend}),
+  };
+}
+
 /** Statuses that tell the caller that the request was not run. */
 const notRunStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 
--- a/packages/gateway/src/forwarding/forwarding.ts
+++ b/packages/gateway/src/forwarding/forwarding.ts
@@ -26,6 +26,8 @@
 import {RelayAttempts} from './relay_attempts';
 import type {EndedAttempt} from './record_exchange_end';
 import {recordExchangeCancel, recordExchangeEnd} from './record_exchange_end';
+import type {ColdSend} from './record_exchange_start';
+import {recordExchangeStart} from './record_exchange_start';
 import type {Target} from '../targets/target';
 
 /** The final answer, the attempts and the last admission. */
@@ -329,19 +331,16 @@
       const knownEndCount = parts.poison.endedProcessCount(fingerprint, incarnationId);
       const attempt = {placement, incarnationId, isRepeat, knownEndCount};
       record.recordStart(target.id);
-      target.load.recordStart();
-      target.directives.rateLimiter.recordSend(startedAtMs);
-      if (target.isCold(startedAtMs)) target.coldLimiter.recordSend(startedAtMs);
+      const coldSend = recordExchangeStart(parts, target);
       const elapsedMs = () => parts.time.monotonicMs() - startedAtMs;
-      parts.paths.recordSend();
       return Effect.suspend(() => exchangeWithTarget(this.exchangeParameters(target))).pipe(
         Effect.tap(end =>
-          Effect.sync(() => this.recordEnd({...attempt, end, elapsedMs: elapsedMs()})),
+          Effect.sync(() => this.recordEnd({...attempt, end, elapsedMs: elapsedMs()}, coldSend)),
         ),
         Effect.onExit(exit => {
           // In each case, an exception included: a request counted for good would make the target seem full.
           target.load.recordEnd();
-          if (Exit.isFailure(exit)) record.recordCancel(target.id, elapsedMs());
+          if (Exit.isFailure(exit)) record.recordCancel(target.id, elapsedMs(), {coldSend});
           return Effect.void;
         }),
         Effect.onInterrupt(() =>
@@ -379,11 +378,11 @@
     };
   }
 
-  private recordEnd(attempt: EndedAttempt): void {
+  private recordEnd(attempt: EndedAttempt, coldSend: ColdSend | undefined): void {
     const {parts, forwarded, record} = this;
     const {placement, end, elapsedMs} = attempt;
     recordExchangeEnd(parts, forwarded, attempt);
     const isHeld = forwarded.request.head.objectKey === undefined ? undefined : placement.isHeld;
-    record.recordEnd(placement.target.id, end, elapsedMs, isHeld);
+    record.recordEnd(placement.target.id, end, elapsedMs, {isHeld, coldSend});
   }
 }
--- /dev/null
+++ b/packages/gateway/src/forwarding/record_exchange_start.ts
@@ -0,0 +1,28 @@
+/** Updates what the gateway knows of a target when a request is sent to it. */
+import type {GatewayParts} from '../gateway_parts';
+import type {Target} from '../targets/target';
+
+/** What a gateway knew when it sent a request to a cold target; written to the log. */
+export interface ColdSend {
+  /** Rank of the gateway among the senders to the target; 0 is the first. */
+  readonly senderRank: number;
+  /** Number of gateways that were ranked, including this one. */
+  readonly rankedGateways: number;
+}
+
+/** Updates the target's load and limits. Returns what the gateway knew if the target is cold. */
+export function recordExchangeStart(
+  {paths, peers, settings, metrics, time}: GatewayParts,
+  target: Target,
+): ColdSend | undefined {
+  const nowMs = time.monotonicMs();
+  target.load.recordStart();
+  target.directives.rateLimiter.recordSend(nowMs);
+  paths.recordSend();
+  if (!target.isCold(nowMs)) return undefined;
+  target.coldLimiter.recordSend(nowMs);
+  metrics.coldSend(target.service);
+  const gatewayNames = peers.activeGatewayNames();
+  const senderRank = target.coldLimiter.rankOf(target.id, settings.value.name, gatewayNames);
+  return {senderRank, rankedGateways: gatewayNames.length};
+}
--- a/packages/gateway/src/logs/explain_request.ts
+++ b/packages/gateway/src/logs/explain_request.ts
@@ -159,7 +159,15 @@
   const detail = stringField(attempt, 'detail');
   const suffix = detail === undefined ? '' : ` (${detail})`;
   const elapsed = `${textOf(attempt, 'elapsedMs')} ms`;
-  return `target ${textOf(attempt, 'targetId')} ${attemptEndTexts[end] ?? end}${suffix}, ${elapsed}`;
+  const ended = `${attemptEndTexts[end] ?? end}${suffix}, ${elapsed}`;
+  return `target ${textOf(attempt, 'targetId')} ${ended}${coldSendText(attempt)}`;
+}
+
+function coldSendText(attempt: JsonObject): string {
+  const coldSend = asObject(attempt['coldSend']);
+  if (coldSend === undefined) return '';
+  const {senderRank, rankedGateways} = coldSend;
+  return `; it counted as cold, this gateway has rank ${String(senderRank)} of ${String(rankedGateways)} as a sender`;
 }
 
 function describeInputs(request: JsonObject): readonly string[] {
--- a/packages/gateway/src/logs/gateway_metrics.ts
+++ b/packages/gateway/src/logs/gateway_metrics.ts
@@ -35,6 +35,12 @@
     labelNames: ['service', 'end'],
     registers: [this.registry],
   });
+  private readonly coldSends = new Counter({
+    name: 'cuminsill_cold_requests_total',
+    help: 'Requests sent to targets that counted as cold, by service',
+    labelNames: ['service'],
+    registers: [this.registry],
+  });
   private readonly storeCalls = new Counter({
     name: 'cuminsill_store_calls_total',
     help: 'Calls to the store by kind of object and result',
@@ -149,6 +155,10 @@
     this.attempts.inc({service, end});
   }
 
+  coldSend(service: string): void {
+    this.coldSends.inc({service});
+  }
+
   storeCallEnded(kind: string, result: string): void {
     this.storeCalls.inc({kind, result});
   }
--- a/packages/gateway/src/targets/cold_target_limiter.ts
+++ b/packages/gateway/src/targets/cold_target_limiter.ts
@@ -46,7 +46,12 @@
     gatewayName: string,
     gatewayNames: readonly string[],
   ): boolean {
-    return this.senderRank.of(targetId, gatewayName, gatewayNames) < coldSenderCount(limit);
+    return this.rankOf(targetId, gatewayName, gatewayNames) < coldSenderCount(limit);
+  }
+
+  /** Rank of this gateway among the senders to the target; 0 is the first. */
+  rankOf(targetId: string, gatewayName: string, gatewayNames: readonly string[]): number {
+    return this.senderRank.of(targetId, gatewayName, gatewayNames);
   }
 
   /** True when the minimum interval since the last request has passed. */
