--- a/packages/gateway/src/forwarding/record_exchange_start.ts
+++ b/packages/gateway/src/forwarding/record_exchange_start.ts
@@ -10,9 +10,14 @@
   readonly rankedGateways: number;
 }
 
+/** The parts of a gateway that concern the start of an exchange. */
+export type ExchangeStartParts = Pick<GatewayParts, 'paths' | 'peers' | 'settings' | 'time'> & {
+  readonly metrics: Pick<GatewayParts['metrics'], 'coldSend'>;
+};
+
 /** Updates the target's load and limits. Returns what the gateway knew if the target is cold. */
 export function recordExchangeStart(
-  {paths, peers, settings, metrics, time}: GatewayParts,
+  {paths, peers, settings, metrics, time}: ExchangeStartParts,
   target: Target,
 ): ColdSend | undefined {
   const nowMs = time.monotonicMs();
--- a/packages/gateway/src/forwarding/request_placement.ts
+++ b/packages/gateway/src/forwarding/request_placement.ts
@@ -7,10 +7,24 @@
 import type {ForwardedRequest} from './forwarded_request';
 import type {SecondTryTimes} from './second_try';
 
+/** The parts of a gateway that the choice of a target depends on. */
+export type PlacementParts = Pick<
+  GatewayParts,
+  | 'configuration'
+  | 'evacuations'
+  | 'peers'
+  | 'regionalShares'
+  | 'roundTripTimes'
+  | 'serviceTimes'
+  | 'settings'
+  | 'targets'
+  | 'time'
+>;
+
 /** Places the attempts of one request. */
 export class RequestPlacement {
   constructor(
-    private readonly parts: GatewayParts,
+    private readonly parts: PlacementParts,
     private readonly forwarded: ForwardedRequest,
     private readonly record: AttemptRecord,
   ) {}
