Rank the senders to a cold target among the gateways that the store lists

What callers saw: a cold target of 87 gateways got more requests in a second than it takes, and targets that get far more crash.

Cause: the senders were ranked among the gateways that are heard. A gateway that has just started, is cut off or was paused hears few or none, ranks itself first for every cold target, and sends; nine others in the view of each do the same. A process that starts again at once also does not know that its predecessor has just sent.

Change: the ranking counts all gateways that the store lists, those whose record was removed within a minute, and those that are heard without a record. Silence gives no rank away, since a silent gateway may go on sending. A gateway sends from 1.1 s after it has found its record in the store, and 1.1 s later if no former process has left that record. For that the registration starts after the first list of gateways.

Four new cases hold the use of a cold target: all senders in a steady fleet, while nobody hears anybody, and 1.5 s after a common loss of power; at least half while a quarter of the fleet is down.

--- a/packages/gateway/__fixtures__/admission_simulation.ts
+++ b/packages/gateway/__fixtures__/admission_simulation.ts
@@ -232,6 +232,7 @@
         ownRegion: 'r0',
         ownCallerFraction: 1,
         gatewayNames: [],
+        senderNames: [],
         evacuatedDomains: new Set(),
         coldLimit: {requestsPerS: 10},
         serviceTime: gateway.serviceTime,
--- a/packages/gateway/__fixtures__/cold_target_model.ts
+++ b/packages/gateway/__fixtures__/cold_target_model.ts
@@ -16,8 +16,10 @@
 import {chooseReceivers} from '../src/peers/peer_gossip';
 import type {PeerHeartbeat, RelayedHeartbeat} from '../src/peers/peer_table';
 import {PeerTable} from '../src/peers/peer_table';
+import {SenderFleet} from '../src/peers/sender_fleet';
 import {RegionalShares} from '../src/regional_shares';
 import {ConfigurationView} from '../src/store/configuration_view';
+import {coldSenderTiming} from '../src/targets/cold_target_limiter';
 import {EvacuationView} from '../src/targets/evacuation_view';
 import {RoundTripTimes} from '../src/targets/round_trip_times';
 import {ServiceTimeEstimators} from '../src/targets/service_time_estimator';
@@ -270,6 +272,7 @@
     settings: new CurrentSettings(settings),
     configuration,
     peers,
+    senderFleet: new SenderFleet(peers, time, coldSenderTiming),
     targets,
     time,
     evacuations: new EvacuationView(),
--- a/packages/gateway/__fixtures__/reference_placement.ts
+++ b/packages/gateway/__fixtures__/reference_placement.ts
@@ -73,7 +73,9 @@
   if (!target.directives.maySend(target.id, view)) return false;
   if (!target.isCold(view.nowMs)) return true;
   if (!target.coldLimiter.isIntervalOver(view.nowMs)) return false;
-  return target.coldLimiter.isSender(view.coldLimit, target.id, view.ownName, view.gatewayNames);
+  const {coldLimit, ownName, senderNames} = view;
+  if (senderNames === undefined) return false;
+  return target.coldLimiter.isSender(coldLimit, target.id, ownName, senderNames);
 }
 
 /**
--- a/packages/gateway/__fixtures__/service_simulation.ts
+++ b/packages/gateway/__fixtures__/service_simulation.ts
@@ -257,6 +257,7 @@
       ownRegion: gateway.region,
       ownCallerFraction: 1 / this.load.regions.length,
       gatewayNames: [],
+      senderNames: [],
       evacuatedDomains: new Set(),
       coldLimit: {requestsPerS: 10},
       serviceTime: gateway.serviceTime,
--- a/packages/gateway/__tests__/cold_target_bound.test.ts
+++ b/packages/gateway/__tests__/cold_target_bound.test.ts
@@ -1,6 +1,7 @@
 /** The bound on the requests to a cold target, over gateways that believe different things of each other. */
 import {randomBelow, seededRandom} from '@cuminsill/utils';
 import type {ColdTargetOutcome, ColdTargetSchedule} from '../__fixtures__/cold_target_model';
+import {coldSenderCount, minColdIntervalMs} from '../src/targets/cold_target_limiter';
 import {maxRequestsInSecond, runColdTargetModel} from '../__fixtures__/cold_target_model';
 
 const windowMs = 1_000;
@@ -152,3 +153,51 @@
     expect(mostInSecond(outcome)).toBeLessThanOrEqual(maxRequestsInSecond);
   },
 );
+
+interface UseCase {
+  readonly name: string;
+  readonly events: Events;
+  /** From when on the requests count. */
+  readonly fromMs: number;
+  /** Part of the senders of a fleet in which all run that are left at least. */
+  readonly minFraction: number;
+}
+
+const useGatewayCount = 87;
+const useDurationMs = 6_000;
+/** Ranks depend on names, so the senders to one target may be hit by more than the average. */
+const useCases: readonly UseCase[] = [
+  {name: 'all hear each other', events: {}, fromMs: 0, minFraction: 1},
+  {
+    name: 'a quarter is down for good',
+    events: {isRunning: (gateway, timeMs) => gateway % 4 !== 0 || timeMs < eventMs},
+    fromMs: eventMs + windowMs,
+    minFraction: 0.5,
+  },
+  {
+    name: 'all hear nobody and do not reach the store',
+    events: {
+      isCut: (_from, _to, timeMs) => timeMs >= eventMs,
+      isTurnedAway: (_gateway, timeMs) => timeMs >= eventMs,
+    },
+    fromMs: eventMs,
+    minFraction: 1,
+  },
+  {
+    name: 'all have lost power and have run again for 1.5 s',
+    events: {isRunning: (_gateway, timeMs) => !isOff(timeMs, eventMs, 550)},
+    fromMs: eventMs + 550 + 1_500,
+    minFraction: 1,
+  },
+];
+
+/** Guards against a bound that is kept by hardly using the target. */
+test.each(useCases)('a cold target is used while $name', ({events, fromMs, minFraction}) => {
+  const schedule = {gatewayCount: useGatewayCount, durationMs: useDurationMs, ...events};
+  const {sends} = runColdTargetModel(schedule, 1);
+  const counted = sends.filter(({atMs}) => atMs >= fromMs).length;
+  // In the span a sender sends at least once less than its intervals would allow.
+  const intervals = Math.floor((useDurationMs - fromMs) / minColdIntervalMs) - 1;
+  const senderCount = coldSenderCount({requestsPerS: maxRequestsInSecond});
+  expect(counted).toBeGreaterThanOrEqual(senderCount * intervals * minFraction);
+});
--- a/packages/gateway/__tests__/placement.test.ts
+++ b/packages/gateway/__tests__/placement.test.ts
@@ -29,6 +29,7 @@
     ownRegion: 'a',
     ownCallerFraction: 0.5,
     gatewayNames: ['g-1'],
+    senderNames: ['g-1'],
     evacuatedDomains: new Set(),
     coldLimit: {requestsPerS: 16},
     serviceTime: new ServiceTimeEstimator(),
--- a/packages/gateway/__tests__/placement_cache.test.ts
+++ b/packages/gateway/__tests__/placement_cache.test.ts
@@ -68,6 +68,7 @@
     ownRegion: 'a',
     ownCallerFraction: 0.1 + 0.9 * random.next(),
     gatewayNames: ['g-1', 'g-2', 'g-3'],
+    senderNames: ['g-1', 'g-2', 'g-3'],
     evacuatedDomains: new Set(),
     coldLimit: {requestsPerS: 2},
     serviceTime: new ServiceTimeEstimator(),
--- a/packages/gateway/src/forwarding/record_exchange_start.ts
+++ b/packages/gateway/src/forwarding/record_exchange_start.ts
@@ -11,13 +11,16 @@
 }
 
 /** The parts of a gateway that concern the start of an exchange. */
-export type ExchangeStartParts = Pick<GatewayParts, 'paths' | 'peers' | 'settings' | 'time'> & {
+export type ExchangeStartParts = Pick<
+  GatewayParts,
+  'paths' | 'senderFleet' | 'settings' | 'time'
+> & {
   readonly metrics: Pick<GatewayParts['metrics'], 'coldSend'>;
 };
 
 /** Updates the target's load and limits. Returns what the gateway knew if the target is cold. */
 export function recordExchangeStart(
-  {paths, peers, settings, metrics, time}: ExchangeStartParts,
+  {paths, senderFleet, settings, metrics, time}: ExchangeStartParts,
   target: Target,
 ): ColdSend | undefined {
   const nowMs = time.monotonicMs();
@@ -27,7 +30,7 @@
   if (!target.isCold(nowMs)) return undefined;
   target.coldLimiter.recordSend(nowMs);
   metrics.coldSend(target.service);
-  const gatewayNames = peers.activeGatewayNames();
-  const senderRank = target.coldLimiter.rankOf(target.id, settings.value.name, gatewayNames);
-  return {senderRank, rankedGateways: gatewayNames.length};
+  const senderNames = senderFleet.names() ?? [];
+  const senderRank = target.coldLimiter.rankOf(target.id, settings.value.name, senderNames);
+  return {senderRank, rankedGateways: senderNames.length};
 }
--- a/packages/gateway/src/forwarding/request_placement.ts
+++ b/packages/gateway/src/forwarding/request_placement.ts
@@ -15,6 +15,7 @@
   | 'peers'
   | 'regionalShares'
   | 'roundTripTimes'
+  | 'senderFleet'
   | 'serviceTimes'
   | 'settings'
   | 'targets'
@@ -54,6 +55,7 @@
         ownRegion: settings.region,
         ownCallerFraction: peers.ownRegionFraction(),
         gatewayNames: peers.activeGatewayNames(),
+        senderNames: parts.senderFleet.names(),
         evacuatedDomains: evacuations.evacuatedDomains,
         coldLimit: {requestsPerS: coldRequestsPerS + settings.bounds.coldSlack},
         serviceTime: serviceTimes.of(forwarded.service),
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -13,6 +13,7 @@
 import {ServiceAdmissions} from './admission';
 import {BoundedLogStream} from './logs/bounded_log_stream';
 import {CallerServer} from './requests/caller_server';
+import {coldSenderTiming} from './targets/cold_target_limiter';
 import {ConnectionHistory} from './targets/connection_history';
 import {ConfigurationView} from './store/configuration_view';
 import type {LogOutput} from './logs/decision_log';
@@ -50,6 +51,7 @@
 import {RelayPeers} from './forwarding/relay_peers';
 import type {RetryLimit} from './forwarding/retry_budget';
 import {RetryBudget} from './forwarding/retry_budget';
+import {SenderFleet} from './peers/sender_fleet';
 import {SelfRegistration} from './peers/self_registration';
 import {ServiceSelector} from './requests/service_selector';
 import {ServiceTimeEstimators} from './targets/service_time_estimator';
@@ -135,7 +137,6 @@
       this.targetProber.start();
       this.parts.quotas.start();
       this.fibers = this.feeds.map(feed => Effect.runFork(feed.run()));
-      this.registration.start();
       this.keyLease.start();
       this.parts.log.event('start', {region, failureDomain});
     });
@@ -235,6 +236,7 @@
         if (!evacuated) this.onEvacuationEnded(failureDomain);
       }),
       peers,
+      senderFleet: new SenderFleet(peers, time, coldSenderTiming),
       serviceSelector: new ServiceSelector(),
       serviceTimes: new ServiceTimeEstimators(),
       roundTripTimes: new RoundTripTimes(failureDomain, regions),
--- a/packages/gateway/src/gateway_parts.ts
+++ b/packages/gateway/src/gateway_parts.ts
@@ -20,6 +20,7 @@
 import type {PoisonTracker} from './poison/poison_tracker';
 import type {RelayPeers} from './forwarding/relay_peers';
 import type {RequestWire} from './requests/request_wire';
+import type {SenderFleet} from './peers/sender_fleet';
 import type {RetryBudget} from './forwarding/retry_budget';
 import type {ServiceSelector} from './requests/service_selector';
 import type {ServiceTimeEstimators} from './targets/service_time_estimator';
@@ -37,6 +38,8 @@
   readonly targets: TargetDirectory;
   readonly evacuations: EvacuationView;
   readonly peers: PeerTable;
+  /** Gateways that are ranked as senders to cold targets. */
+  readonly senderFleet: SenderFleet;
   readonly serviceSelector: ServiceSelector;
   readonly serviceTimes: ServiceTimeEstimators;
   readonly roundTripTimes: RoundTripTimes;
--- a/packages/gateway/src/peers/peer_table.ts
+++ b/packages/gateway/src/peers/peer_table.ts
@@ -65,6 +65,14 @@
   readonly removedAtMs: number;
 }
 
+/** Since when the store has listed this gateway. */
+export interface OwnListing {
+  /** When it was first seen, on the monotonic clock. */
+  readonly sinceMs: number;
+  /** True for a record that a former process has written: the first list had it. */
+  readonly isFormerProcess: boolean;
+}
+
 interface ReceivedHeartbeat {
   readonly heartbeat: PeerHeartbeat;
   /** When it was sent, as far as this gateway can tell. */
@@ -81,6 +89,9 @@
   private nameByHash: ReadonlyMap<number, string> = new Map();
   private activeNames: readonly string[] = [];
   private activeNamesUpdatedAtMs = Number.NEGATIVE_INFINITY;
+  private knownNames: readonly string[] = [];
+  private knownNamesUpdatedAtMs = Number.NEGATIVE_INFINITY;
+  private listing: OwnListing | undefined;
   private readonly lastHeartbeats = new Map<string, ReceivedHeartbeat>();
   /** Gateways of which a heartbeat was heard that has not been passed on. */
   private readonly heardNames = new Set<string>();
@@ -94,8 +105,9 @@
 
   /** Replaces all records. */
   replace(list: ObjectList<GatewayRecord>): void {
+    const isFirst = !this.hasList;
     this.hasList = true;
-    this.setRecords(new Map(list.objects.flatMap(readableRecords)));
+    this.setRecords(new Map(list.objects.flatMap(readableRecords)), isFirst);
   }
 
   /** Applies changed and deleted records. */
@@ -161,6 +173,11 @@
     return this.records.has(this.ownRecord.name);
   }
 
+  /** Since when the store has listed this gateway's own record; undefined while it does not. */
+  get ownListing(): OwnListing | undefined {
+    return this.listing;
+  }
+
   /** All listed gateways except this one, and those that were heard again since their record was removed. */
   otherGateways(): readonly GatewayRecord[] {
     const listed = [...this.records.values()].filter(({name}) => name !== this.ownRecord.name);
@@ -218,6 +235,29 @@
     return this.activeNames;
   }
 
+  /**
+   * Names of all gateways that may be running, including this one: the listed ones, alive or not, those whose record was
+   * removed lately, and those that were heard lately without a record. Returns the same array while nothing has changed.
+   */
+  knownGatewayNames(): readonly string[] {
+    const nowMs = this.time.monotonicMs();
+    if (nowMs - this.knownNamesUpdatedAtMs < activeNamesRefreshMs) return this.knownNames;
+    this.knownNamesUpdatedAtMs = nowMs;
+    const sinceMs = nowMs - maxFormerRecordAgeMs;
+    const former = [...this.formerRecords.values()].filter(
+      ({removedAtMs}) => removedAtMs >= sinceMs,
+    );
+    const names = new Set([
+      this.ownRecord.name,
+      ...this.records.keys(),
+      ...former.map(({record}) => record.name),
+      ...this.unlistedHeardNames(sinceMs),
+    ]);
+    const sorted = [...names].sort();
+    if (!isSameList(sorted, this.knownNames)) this.knownNames = sorted;
+    return this.knownNames;
+  }
+
   /** Number of listed gateways, alive or not; includes this one. */
   listedGatewayCount(): number {
     return this.records.size + (this.isOwnRecordListed ? 0 : 1);
@@ -231,11 +271,7 @@
   fleetSize(withinMs: number): number | undefined {
     if (!this.hasList) return undefined;
     const sinceMs = this.time.monotonicMs() - withinMs;
-    const unlisted = [...this.lastHeartbeats.entries()].filter(
-      ([name, {heardAtMs}]) =>
-        heardAtMs >= sinceMs && !this.records.has(name) && name !== this.ownRecord.name,
-    );
-    const currentSize = this.listedGatewayCount() + unlisted.length;
+    const currentSize = this.listedGatewayCount() + this.unlistedHeardNames(sinceMs).length;
     const earlierSizes = this.earlierSizes
       .filter(({endedAtMs}) => endedAtMs >= sinceMs)
       .map(({size}) => size);
@@ -255,8 +291,17 @@
     return (inRegion + 1) / this.listedGatewayCount();
   }
 
-  private setRecords(records: ReadonlyMap<string, GatewayRecord>): void {
+  private unlistedHeardNames(sinceMs: number): readonly string[] {
+    return [...this.lastHeartbeats].flatMap(([name, {heardAtMs}]) => {
+      const isListed = this.records.has(name) || name === this.ownRecord.name;
+      return heardAtMs >= sinceMs && !isListed ? [name] : [];
+    });
+  }
+
+  private setRecords(records: ReadonlyMap<string, GatewayRecord>, isFirst = false): void {
     const endedAtMs = this.time.monotonicMs();
+    if (!records.has(this.ownRecord.name)) this.listing = undefined;
+    else this.listing ??= {sinceMs: endedAtMs, isFormerProcess: isFirst};
     if (records.size < this.records.size) {
       const recent = this.earlierSizes.filter(size => endedAtMs - size.endedAtMs <= maxSizeAgeMs);
       this.earlierSizes = [...recent, {size: this.records.size, endedAtMs}];
--- a/packages/gateway/src/peers/self_registration.ts
+++ b/packages/gateway/src/peers/self_registration.ts
@@ -17,6 +17,7 @@
 /** Registers the gateway, and registers it again when its record is missing. */
 export class SelfRegistration {
   private isListed = false;
+  private hasStarted = false;
   private isStopped = false;
   private running: Fiber.RuntimeFiber<void> | undefined;
 
@@ -26,14 +27,17 @@
     private readonly log: DecisionLog,
   ) {}
 
-  /** Registers the gateway and retries until the store has accepted the record. */
-  start(): void {
-    this.run(this.register());
-  }
-
-  /** Reports whether the gateway's own record is among those in the store. */
+  /**
+   * Reports whether the gateway's own record is among those in the store. The first report starts the registration, so that
+   * the first list shows whether a former process has left its record.
+   */
   onList(isListed: boolean): void {
     this.isListed = isListed;
+    if (!this.hasStarted) {
+      this.hasStarted = true;
+      this.run(this.register());
+      return;
+    }
     if (!isListed) this.run(this.registerIfMissing());
   }
 
@@ -54,6 +58,7 @@
     this.running = Effect.runFork(Effect.ensuring(task, ended));
   }
 
+  /** Registers the gateway and retries until the store has accepted the record. */
   private register(): Effect.Effect<void> {
     const retried = Effect.retry(
       this.registry.register(this.record),
--- a/packages/gateway/src/targets/cold_target_limiter.ts
+++ b/packages/gateway/src/targets/cold_target_limiter.ts
@@ -2,6 +2,7 @@
  * Keeps the total rate of requests from all gateways to a cold target below the rate that it can take. A few gateways
  * are selected as senders, and each sender spaces its requests.
  */
+import type {SenderFleetTiming} from '../peers/sender_fleet';
 import {senderRank, SenderRank} from './sender_rank';
 
 /** Limit on the requests to a cold target. */
@@ -13,9 +14,15 @@
 /** Minimum interval of one gateway's requests to a cold target: one second plus the jitter of network delays. */
 export const minColdIntervalMs = 1_100;
 
+/** A list lags by the time between two reads of the gateways' feed and the answers of the store. */
+export const coldSenderTiming: SenderFleetTiming = {
+  sendIntervalMs: minColdIntervalMs,
+  maxListLagMs: 1_100,
+};
+
 /**
- * Fraction of the limit that is used. The rest covers gateways that briefly disagree about the list of gateways, and
- * requests with different network delays.
+ * Fraction of the limit that is used. The rest covers gateways whose list is older than others expect, and requests with
+ * different network delays.
  */
 const usedFraction = 0.7;
 
--- a/packages/gateway/src/targets/placement.ts
+++ b/packages/gateway/src/targets/placement.ts
@@ -39,7 +39,10 @@
   readonly ownRegion: string;
   /** Fraction of all callers that are in the gateway's region, between 0 and 1. */
   readonly ownCallerFraction: number;
+  /** Gateways that are alive, including this one. */
   readonly gatewayNames: readonly string[];
+  /** Gateways that are ranked as senders to cold targets; undefined while this one may not send to any. */
+  readonly senderNames: readonly string[] | undefined;
   readonly evacuatedDomains: ReadonlySet<string>;
   readonly coldLimit: ColdLimit;
   readonly serviceTime: ServiceTimeEstimator;
@@ -218,7 +221,9 @@
   if (!target.directives.maySend(target.id, view)) return false;
   if (!target.isCold(view.nowMs)) return true;
   if (!target.coldLimiter.isIntervalOver(view.nowMs)) return false;
-  return target.coldLimiter.isSender(view.coldLimit, target.id, view.ownName, view.gatewayNames);
+  const {coldLimit, ownName, senderNames} = view;
+  if (senderNames === undefined) return false;
+  return target.coldLimiter.isSender(coldLimit, target.id, ownName, senderNames);
 }
 
 /**
