Count targets as cold after each evacuation, and let records only extend coldness

What callers may see: targets that become cold at the end of an evacuation, or behind a probe, get the usual rate of requests until the gateway has read their new records, and crash.

Cause: two views of different age. The end of an evacuation is read within 50 ms, the records of targets up to 600 ms and a heartbeat of the target later; only an outage of the store was covered. And each record that is read, also one from before, ended the coldness that a probe, an answer or the end of an evacuation had shown.

Change: the targets count as cold for the start time of their service whenever their evacuation ends; a record of the same process can extend coldness, not end it.

--- a/packages/gateway/__tests__/target_directory.test.ts
+++ b/packages/gateway/__tests__/target_directory.test.ts
@@ -84,6 +84,39 @@
     expect(target?.isCold(time.monotonicMs())).toBe(true);
   });
 
+  interface ColdCase {
+    readonly name: string;
+    readonly record: Partial<TargetRecord>;
+    readonly afterMs: number;
+    readonly isCold: boolean;
+  }
+
+  const coldCases: readonly ColdCase[] = [
+    {name: 'a record from before', record: {}, afterMs: 100, isCold: true},
+    {name: 'a record from before, at the end', record: {}, afterMs: 3_000, isCold: false},
+    {
+      name: 'a record that says longer',
+      record: {coldForMs: 5_000},
+      afterMs: 4_000,
+      isCold: true,
+    },
+    {name: 'the record of a new process', record: {startedAtMs: 2}, afterMs: 100, isCold: false},
+  ];
+
+  /**
+   * Guards against a flood of a cold target: a probe, an answer or the end of an evacuation has shown that it is cold, and a
+   * record that it wrote before makes it count as warm again.
+   */
+  test.each(coldCases)('a cold target after $name', ({record, afterMs, isCold}) => {
+    const {directory, time} = setUp();
+    directory.replace({objects: [object('t-1')], revision: 1});
+    const [target] = directory.ofService('s');
+    target?.markCold(3_000, time.monotonicMs());
+    directory.replace({objects: [object('t-1', record)], revision: 2});
+    time.advance(afterMs);
+    expect(target?.isCold(time.monotonicMs())).toBe(isCold);
+  });
+
   test('a target that moves to another service is replaced by a new one', () => {
     const {directory, usable} = setUp();
     directory.replace({objects: [object('t-1')], revision: 1});
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -67,8 +67,6 @@
 /** The process exits this long before it would be killed. */
 const exitMarginMs = 250;
 const idlePollIntervalMs = 25;
-/** Targets change their records at least this often, so an older list shows that the store does not answer. */
-const maxCurrentListAgeMs = 1_500;
 const logFlushTimeoutMs = 100;
 
 /** One running gateway. */
@@ -308,14 +306,8 @@
     return this.feeds.map(feed => feed.state());
   }
 
-  /**
-   * Targets may become cold when their evacuation ends, which only their records say. After an outage of the store the end
-   * may be read before the records.
-   */
+  /** Targets may become cold when their evacuation ends, which only their records say. They are read later than the end. */
   private onEvacuationEnded(failureDomain: string): void {
-    const feed = this.targetFeedState();
-    const isCurrent = feed?.connected === true && (feed.ageMs ?? Infinity) <= maxCurrentListAgeMs;
-    if (isCurrent) return;
     const {configuration, targets} = this.parts;
     const services = configuration.routes?.configuration.services;
     targets.markDomainCold(failureDomain, service => services?.get(service)?.coldStartMs ?? 0);
--- a/packages/gateway/src/targets/target.ts
+++ b/packages/gateway/src/targets/target.ts
@@ -112,7 +112,7 @@
       this.hasWrongAddress = false;
     }
     if (record.startedAtMs !== previous.startedAtMs) this.resetAfterRestart();
-    this.coldUntilMs = 0;
+    // The record may have been written before the process became cold, so it only extends what is known.
     this.markCold(record.coldForMs, nowMs);
   }
 
@@ -143,5 +143,6 @@
     this.recentObjects.clear();
     this.workDuration.reset();
     this.hasWrongAddress = false;
+    this.coldUntilMs = 0;
   }
 }
--- a/packages/gateway/src/targets/target_directory.ts
+++ b/packages/gateway/src/targets/target_directory.ts
@@ -58,7 +58,7 @@
   }
 
   /**
-   * Treats the targets of a failure domain as cold until their records are read again.
+   * Treats the targets of a failure domain as cold.
    * @param coldStartMs Returns how long a target of a service stays cold after a start.
    */
   markDomainCold(failureDomain: string, coldStartMs: (service: string) => number): void {
