Count what a target got before it was known to be cold

Cause: a sender remembered only the requests that it sent while it knew that the target was cold. A target in use gets its usual requests until its record is read, which all senders follow with one more each.

A new target, one that was unreachable and one that counted as cold already get requests at once.

--- a/packages/gateway/__fixtures__/cold_target_model.ts
+++ b/packages/gateway/__fixtures__/cold_target_model.ts
@@ -33,6 +33,8 @@
   readonly durationMs: number;
   /** When the target becomes cold; 0 when it is cold from the start. */
   readonly coldFromMs?: number;
+  /** Requests a second for the target over all gateways, evenly spaced, while it is not known to be cold. */
+  readonly usualRequestsPerS?: number;
   /** Whether the process of a gateway runs; by default all have run since before the start. */
   isRunning?(gateway: number, timeMs: number): boolean;
   /** Whether a process stands still. */
@@ -81,6 +83,8 @@
   readonly time = new ManualTime(1_000_000);
   readonly random: RandomSource;
   readonly sends: Array<{readonly atMs: number; readonly gateway: number}> = [];
+  /** Gateway that gets one of the usual requests in this step. */
+  usualReceiver: number | undefined;
   private readonly startMs = this.time.monotonicMs() + warmUpMs;
   private readonly datagrams = new Map<number, Datagram[]>();
   private readonly gateways = new Map<number, ModelGateway>();
@@ -101,6 +105,7 @@
       this.time.advance(stepMs);
       this.startAndEndProcesses();
       this.deliverDue();
+      this.chooseUsualReceiver();
       for (const gateway of this.gateways.values()) {
         if (!this.isPaused(gateway.index)) gateway.step();
       }
@@ -135,6 +140,13 @@
     }
   }
 
+  private chooseUsualReceiver(): void {
+    const {usualRequestsPerS = 0, gatewayCount} = this.schedule;
+    const countUntil = (timeMs: number) => Math.floor((timeMs * usualRequestsPerS) / 1_000);
+    const isDue = countUntil(this.nowMs) > countUntil(this.nowMs - stepMs);
+    this.usualReceiver = isDue ? randomBelow(this.random, gatewayCount) : undefined;
+  }
+
   private deliverDue(): void {
     const due = this.datagrams.get(this.nowMs) ?? [];
     this.datagrams.delete(this.nowMs);
@@ -226,7 +238,13 @@
     this.targets.replace({objects: [{name: content.id, revision: 1, content}], revision: 1});
   }
 
+  /** Without a known cold target the gateways have fewer requests for it than they may send. */
+  private hasRequest(): boolean {
+    return this.knowsColdness || this.model.usualReceiver === this.index;
+  }
+
   private sendRequest(): void {
+    if (!this.hasRequest()) return;
     const placement = new RequestPlacement(this.parts, request, new AttemptRecord()).choose();
     if (placement === undefined) return;
     recordExchangeStart(this.parts, placement.target);
--- a/packages/gateway/__tests__/target_directory.test.ts
+++ b/packages/gateway/__tests__/target_directory.test.ts
@@ -2,6 +2,8 @@
 import {targetRecord, testRegions} from '../__fixtures__/test_records';
 import type {TargetRecord} from '../src/gateway_types';
 import type {SourceObject} from '../src/store/object_source';
+import {minColdIntervalMs} from '../src/targets/cold_target_limiter';
+import type {Target} from '../src/targets/target';
 import {expiredRecordGraceMs, TargetDirectory} from '../src/targets/target_directory';
 
 function object(id: string, changes: Partial<TargetRecord> = {}): SourceObject<TargetRecord> {
@@ -117,6 +119,41 @@
     expect(target?.isCold(time.monotonicMs())).toBe(isCold);
   });
 
+  interface FirstSendCase {
+    readonly name: string;
+    readonly before: (target: Target | undefined, nowMs: number) => void;
+    readonly maySendAtOnce: boolean;
+  }
+
+  const firstSendCases: readonly FirstSendCase[] = [
+    {name: 'was in use', before: () => undefined, maySendAtOnce: false},
+    {
+      name: 'was unreachable',
+      before: (target, nowMs) => target?.health.onConnectFailure(nowMs),
+      maySendAtOnce: true,
+    },
+    {
+      name: 'counted as cold',
+      before: (target, nowMs) => target?.markCold(3_000, nowMs),
+      maySendAtOnce: true,
+    },
+  ];
+
+  /** Guards against a cold target that gets its usual requests and those of its senders in the same second. */
+  test.each(firstSendCases)(
+    'a gateway waits before it sends to a target that $name and becomes cold',
+    ({before, maySendAtOnce}) => {
+      const {directory, time} = setUp();
+      directory.replace({objects: [object('t-1')], revision: 1});
+      const [target] = directory.ofService('s');
+      before(target, time.monotonicMs());
+      directory.replace({objects: [object('t-1', {coldForMs: 3_000})], revision: 2});
+      expect(target?.coldLimiter.isIntervalOver(time.monotonicMs())).toBe(maySendAtOnce);
+      time.advance(minColdIntervalMs);
+      expect(target?.coldLimiter.isIntervalOver(time.monotonicMs())).toBe(true);
+    },
+  );
+
   test('a target that moves to another service is replaced by a new one', () => {
     const {directory, usable} = setUp();
     directory.replace({objects: [object('t-1')], revision: 1});
--- a/packages/gateway/src/forwarding/record_exchange_end.ts
+++ b/packages/gateway/src/forwarding/record_exchange_end.ts
@@ -158,7 +158,7 @@
   const {durationModel} = parts.serviceTimes.of(forwarded.service);
   target.workDuration.recordReport(load?.workDurationRatio, nowMs, durationModel);
   if (load !== undefined) target.load.recordReport(load, nowMs);
-  if (coldForMs !== undefined) target.markCold(coldForMs, nowMs);
+  if (coldForMs !== undefined) target.onColdAnswer(coldForMs, nowMs);
 }
 
 /** Records what the target asks for, unless another process runs under its id since the request was sent. */
--- a/packages/gateway/src/forwarding/record_exchange_start.ts
+++ b/packages/gateway/src/forwarding/record_exchange_start.ts
@@ -26,9 +26,9 @@
   const nowMs = time.monotonicMs();
   target.load.recordStart();
   target.directives.rateLimiter.recordSend(nowMs);
+  target.coldLimiter.recordSend(nowMs);
   paths.recordSend();
   if (!target.isCold(nowMs)) return undefined;
-  target.coldLimiter.recordSend(nowMs);
   metrics.coldSend(target.service);
   const senderNames = senderFleet.names() ?? [];
   const senderRank = target.coldLimiter.rankOf(target.id, settings.value.name, senderNames);
--- a/packages/gateway/src/targets/cold_target_limiter.ts
+++ b/packages/gateway/src/targets/cold_target_limiter.ts
@@ -43,6 +43,7 @@
 
 /** Limits the requests of one gateway to one cold target. */
 export class ColdTargetLimiter {
+  /** When a request was sent last, by this gateway or possibly by another one. */
   private lastSentAtMs = Number.NEGATIVE_INFINITY;
   private readonly senderRank = new SenderRank();
 
@@ -66,8 +67,16 @@
     return nowMs - this.lastSentAtMs >= minColdIntervalMs;
   }
 
-  /** Records that a request is sent now. */
+  /** Records that a request is sent now, also to a target that is not known to be cold. */
   recordSend(nowMs: number): void {
     this.lastSentAtMs = nowMs;
   }
+
+  /**
+   * Records that the target has become cold while gateways used it. What any of them sent just before counts for the limit,
+   * so the senders begin after an interval without requests.
+   */
+  onColdInUse(nowMs: number): void {
+    this.lastSentAtMs = nowMs;
+  }
 }
--- a/packages/gateway/src/targets/target.ts
+++ b/packages/gateway/src/targets/target.ts
@@ -104,6 +104,7 @@
   update(record: TargetRecord, nowMs: number): void {
     this.isUnlisted = false;
     const previous = this.currentRecord;
+    const wasInUse = this.isInUse(nowMs);
     this.currentRecord = record;
     if (
       record.address.host !== previous.address.host ||
@@ -113,9 +114,21 @@
     }
     if (record.startedAtMs !== previous.startedAtMs) this.resetAfterRestart();
     // The record may have been written before the process became cold, so it only extends what is known.
+    if (wasInUse && record.coldForMs > 0) this.coldLimiter.onColdInUse(nowMs);
     this.markCold(record.coldForMs, nowMs);
   }
 
+  /** Records that an answer of the target has said how long it stays cold. */
+  onColdAnswer(coldForMs: number, nowMs: number): void {
+    if (coldForMs > 0 && this.isInUse(nowMs)) this.coldLimiter.onColdInUse(nowMs);
+    this.markCold(coldForMs, nowMs);
+  }
+
+  /** True when gateways may have sent to the target at their usual rate until now. */
+  private isInUse(nowMs: number): boolean {
+    return this.isAssignable && this.health.reachability === 'reachable' && !this.isCold(nowMs);
+  }
+
   /** Marks the target as cold for at least the given time from now. */
   markCold(coldForMs: number, nowMs: number): void {
     if (coldForMs > 0) this.coldUntilMs = Math.max(this.coldUntilMs, nowMs + coldForMs);
