Share a target's own limit with gateways that had no time to be heard

What a target would see: after a common start each gateway takes the whole of the rate that the target names, until it hears the others. The same cause as the flood of a cold target: a share is computed from the gateways that are heard.

Change: until the heartbeat timeout after its first list, a gateway counts listed gateways that it has not heard. The three cached lists of names in the peer table share one class.

Gateways that are cut off still divide by what they hear; the users' rule excuses them.

--- a/packages/gateway/__tests__/peer_table.test.ts
+++ b/packages/gateway/__tests__/peer_table.test.ts
@@ -36,6 +36,21 @@
     expect(table.listedGatewayCount()).toBe(3);
   });
 
+  /**
+   * Guards against gateways that start together and each take the whole of the rate that a target names: none has heard
+   * another yet.
+   */
+  test('presumes that listed gateways are active until they had time to be heard', () => {
+    const {time, table} = setUp();
+    expect(table.presumedActiveGatewayNames()).toEqual(['own', 'p', 'q']);
+    expect(table.activeGatewayNames()).toEqual(['own']);
+    table.recordHeartbeat(heartbeat);
+    time.advance(heartbeatTimeoutMs);
+    expect(table.presumedActiveGatewayNames()).toEqual(['own', 'p', 'q']);
+    time.advance(100);
+    expect(table.presumedActiveGatewayNames()).toEqual(['own']);
+  });
+
   /**
    * Guards against a gateway that has just started and takes itself for the only one: it would plan for the callers of all
    * regions, and send objects that its near targets hold to far ones.
--- a/packages/gateway/__tests__/target_rate_limiter.test.ts
+++ b/packages/gateway/__tests__/target_rate_limiter.test.ts
@@ -1,4 +1,7 @@
-import {randomBelow, seededRandom} from '@cuminsill/utils';
+import {ManualTime, randomBelow, seededRandom} from '@cuminsill/utils';
+import type {GatewayRecord} from '../src/gateway_types';
+import {heartbeatIntervalMs} from '../src/peers/peer_exchange';
+import {PeerTable} from '../src/peers/peer_table';
 import {TargetRateLimiter} from '../src/targets/target_rate_limiter';
 
 const windowMs = 4_000;
@@ -9,6 +12,17 @@
 /** Difference between the network delays of requests. */
 const maxDelayMs = 110;
 
+function gatewayRecord(name: string): GatewayRecord {
+  const address = {host: '127.0.0.1', port: 1};
+  return {
+    name,
+    region: 'a',
+    failureDomain: 'a-1',
+    callerAddress: address,
+    peerAddress: address,
+  };
+}
+
 function allowedInWindow(requestsPerS: number): number {
   return 1.5 * requestsPerS * (windowMs / 1_000) + 5;
 }
@@ -58,6 +72,36 @@
   expect(arrivals.length).toBeLessThanOrEqual(Math.max(expectedCount, 60));
 });
 
+/** Requests that reach the target while gateways that have all just started have the list of the store and hear nobody. */
+function arrivalsAfterCommonStart(gatewayCount: number, requestsPerS: number): number {
+  const names = Array.from({length: gatewayCount}, (_value, index) => `g-${index}`);
+  const records = names.map(name => ({name, revision: 1, content: gatewayRecord(name)}));
+  const counts = records.map(({name, content}) => {
+    const time = new ManualTime(0);
+    const peers = new PeerTable(content, time);
+    peers.replace({objects: records, revision: 1});
+    const limiter = new TargetRateLimiter();
+    limiter.recordNamed(requestsPerS, 0);
+    let count = 0;
+    for (; time.monotonicMs() < heartbeatIntervalMs; time.advance(stepMs)) {
+      const gatewayNames = peers.presumedActiveGatewayNames();
+      const view = {nowMs: time.monotonicMs(), ownName: name, gatewayNames};
+      if (!limiter.maySend('t-1', view)) continue;
+      limiter.recordSend(view.nowMs);
+      count += 1;
+    }
+    return count;
+  });
+  return counts.reduce((sum, count) => sum + count, 0);
+}
+
+// Guards against gateways that lose power together and each take the whole rate of a target before they hear each other.
+test.each([10, 87])('%i gateways that have just started share a limit', gatewayCount => {
+  const requestsPerS = 7;
+  const arrivals = arrivalsAfterCommonStart(gatewayCount, requestsPerS);
+  expect(arrivals).toBeLessThanOrEqual(allowedInWindow(requestsPerS));
+});
+
 interface NamingCase {
   readonly name: string;
   readonly act: (limiter: TargetRateLimiter) => void;
--- a/packages/gateway/src/forwarding/request_placement.ts
+++ b/packages/gateway/src/forwarding/request_placement.ts
@@ -54,7 +54,7 @@
         ownName: settings.name,
         ownRegion: settings.region,
         ownCallerFraction: peers.ownRegionFraction(),
-        gatewayNames: peers.activeGatewayNames(),
+        gatewayNames: peers.presumedActiveGatewayNames(),
         senderNames: parts.senderFleet.names(),
         evacuatedDomains: evacuations.evacuatedDomains,
         coldLimit: {requestsPerS: coldRequestsPerS + settings.bounds.coldSlack},
--- a/packages/gateway/src/peers/peer_table.ts
+++ b/packages/gateway/src/peers/peer_table.ts
@@ -7,6 +7,7 @@
 import {hash32} from '@cuminsill/utils';
 import type {GatewayRecord} from '../gateway_types';
 import type {ObjectChanges, ObjectList, SourceObject} from '../store/object_source';
+import {CachedNames} from './cached_names';
 import {needsRelays} from './peer_gossip';
 
 /** State of a gateway in its heartbeats. */
@@ -41,8 +42,8 @@
 /** A gateway without a heartbeat for this long counts as dead and is not named to callers. */
 export const heartbeatTimeoutMs = 2_500;
 
-/** The list of active gateways may be this old, which is short compared with `heartbeatTimeoutMs`. */
-const activeNamesRefreshMs = 100;
+/** Lists of names may be this old, which is short compared with `heartbeatTimeoutMs`. */
+const namesRefreshMs = 100;
 
 /** Bounds the size of a datagram to about 12 kB. */
 const maxRelayedHeartbeats = 500;
@@ -83,14 +84,13 @@
 export class PeerTable {
   private records: ReadonlyMap<string, GatewayRecord> = new Map();
   private formerRecords: ReadonlyMap<string, FormerRecord> = new Map();
-  private hasList = false;
   /** Earlier numbers of records, as long as they may still matter. */
   private earlierSizes: readonly EarlierSize[] = [];
   private nameByHash: ReadonlyMap<number, string> = new Map();
-  private activeNames: readonly string[] = [];
-  private activeNamesUpdatedAtMs = Number.NEGATIVE_INFINITY;
-  private knownNames: readonly string[] = [];
-  private knownNamesUpdatedAtMs = Number.NEGATIVE_INFINITY;
+  private readonly activeNames = new CachedNames(namesRefreshMs);
+  private readonly presumedActiveNames = new CachedNames(namesRefreshMs);
+  private readonly knownNames = new CachedNames(namesRefreshMs);
+  private firstListAtMs: number | undefined;
   private listing: OwnListing | undefined;
   private readonly lastHeartbeats = new Map<string, ReceivedHeartbeat>();
   /** Gateways of which a heartbeat was heard that has not been passed on. */
@@ -105,8 +105,8 @@
 
   /** Replaces all records. */
   replace(list: ObjectList<GatewayRecord>): void {
-    const isFirst = !this.hasList;
-    this.hasList = true;
+    const isFirst = this.firstListAtMs === undefined;
+    this.firstListAtMs ??= this.time.monotonicMs();
     this.setRecords(new Map(list.objects.flatMap(readableRecords)), isFirst);
   }
 
@@ -226,13 +226,26 @@
    * that callers can cache derived values.
    */
   activeGatewayNames(): readonly string[] {
+    return this.activeNames.get(this.time.monotonicMs(), () =>
+      this.namesWhere(name => this.isAlive(name)),
+    );
+  }
+
+  /**
+   * Same, with the gateways that this one has had no time to hear. A gateway that has just started would otherwise take the
+   * whole of a limit that all of them share.
+   */
+  presumedActiveGatewayNames(): readonly string[] {
     const nowMs = this.time.monotonicMs();
-    if (nowMs - this.activeNamesUpdatedAtMs < activeNamesRefreshMs) return this.activeNames;
-    this.activeNamesUpdatedAtMs = nowMs;
-    const others = this.otherGateways().filter(({name}) => this.isAlive(name));
-    const names = [this.ownRecord.name, ...others.map(({name}) => name)];
-    if (!isSameList(names, this.activeNames)) this.activeNames = names;
-    return this.activeNames;
+    const isYoung = nowMs - (this.firstListAtMs ?? nowMs) <= heartbeatTimeoutMs;
+    return this.presumedActiveNames.get(nowMs, () =>
+      this.namesWhere(name => this.isAlive(name) || (isYoung && !this.lastHeartbeats.has(name))),
+    );
+  }
+
+  private namesWhere(isCounted: (name: string) => boolean): readonly string[] {
+    const others = this.otherGateways().filter(({name}) => isCounted(name));
+    return [this.ownRecord.name, ...others.map(({name}) => name)];
   }
 
   /**
@@ -241,9 +254,10 @@
    */
   knownGatewayNames(): readonly string[] {
     const nowMs = this.time.monotonicMs();
-    if (nowMs - this.knownNamesUpdatedAtMs < activeNamesRefreshMs) return this.knownNames;
-    this.knownNamesUpdatedAtMs = nowMs;
-    const sinceMs = nowMs - maxFormerRecordAgeMs;
+    return this.knownNames.get(nowMs, () => this.namesKnownSince(nowMs - maxFormerRecordAgeMs));
+  }
+
+  private namesKnownSince(sinceMs: number): readonly string[] {
     const former = [...this.formerRecords.values()].filter(
       ({removedAtMs}) => removedAtMs >= sinceMs,
     );
@@ -253,9 +267,7 @@
       ...former.map(({record}) => record.name),
       ...this.unlistedHeardNames(sinceMs),
     ]);
-    const sorted = [...names].sort();
-    if (!isSameList(sorted, this.knownNames)) this.knownNames = sorted;
-    return this.knownNames;
+    return [...names].sort();
   }
 
   /** Number of listed gateways, alive or not; includes this one. */
@@ -269,7 +281,7 @@
    * list but that were heard. Undefined before the store's first answer.
    */
   fleetSize(withinMs: number): number | undefined {
-    if (!this.hasList) return undefined;
+    if (this.firstListAtMs === undefined) return undefined;
     const sinceMs = this.time.monotonicMs() - withinMs;
     const currentSize = this.listedGatewayCount() + this.unlistedHeardNames(sinceMs).length;
     const earlierSizes = this.earlierSizes
@@ -284,7 +296,7 @@
    * for the only one would send objects to far targets, which do not hold them.
    */
   ownRegionFraction(): number {
-    if (!this.hasList) return 1 / this.regionCount;
+    if (this.firstListAtMs === undefined) return 1 / this.regionCount;
     const inRegion = this.otherGateways().filter(
       ({region}) => region === this.ownRecord.region,
     ).length;
@@ -356,10 +368,6 @@
   return next.sequence > known.sequence;
 }
 
-function isSameList(left: readonly string[], right: readonly string[]): boolean {
-  return left.length === right.length && left.every((name, index) => name === right[index]);
-}
-
 /** The record of an object with its name; none when it cannot be read. */
 function readableRecords({
   name,
--- a/packages/gateway/src/targets/placement.ts
+++ b/packages/gateway/src/targets/placement.ts
@@ -39,7 +39,7 @@
   readonly ownRegion: string;
   /** Fraction of all callers that are in the gateway's region, between 0 and 1. */
   readonly ownCallerFraction: number;
-  /** Gateways that are alive, including this one. */
+  /** Gateways that share the limit that a target names, including this one. */
   readonly gatewayNames: readonly string[];
   /** Gateways that are ranked as senders to cold targets; undefined while this one may not send to any. */
   readonly senderNames: readonly string[] | undefined;
