--- a/packages/gateway/src/peers/cached_names.ts
+++ b/packages/gateway/src/peers/cached_names.ts
@@ -1,6 +1,9 @@
-/** A list of names that is computed at most once in an interval, and stays the same array while the names are the same. */
+/** Caches lists of names that change rarely but are asked for with each request. */
 
-/** Callers cache derived values by the array. */
+/**
+ * A list that is computed at most once in an interval. It stays the same array while the names are the same, so that callers
+ * can cache what they derive from it.
+ */
 export class CachedNames {
   private names: readonly string[] = [];
   private updatedAtMs = Number.NEGATIVE_INFINITY;
@@ -8,7 +11,7 @@
   /** @param refreshMs Maximum age of the list, in milliseconds. */
   constructor(private readonly refreshMs: number) {}
 
-  /** Returns the names, which are computed anew if they are too old. */
+  /** Returns the names; computes them again when they are older than the interval. */
   get(nowMs: number, compute: () => readonly string[]): readonly string[] {
     if (nowMs - this.updatedAtMs < this.refreshMs) return this.names;
     this.updatedAtMs = nowMs;
--- a/packages/gateway/src/peers/peer_table.ts
+++ b/packages/gateway/src/peers/peer_table.ts
@@ -70,8 +70,8 @@
 export interface OwnListing {
   /** When it was first seen, on the monotonic clock. */
   readonly sinceMs: number;
-  /** True for a record that a former process has written: the first list had it. */
-  readonly isFormerProcess: boolean;
+  /** True for a record that a former process has written: it was in the first list. */
+  readonly isFromFormerProcess: boolean;
 }
 
 interface ReceivedHeartbeat {
@@ -313,7 +313,7 @@
   private setRecords(records: ReadonlyMap<string, GatewayRecord>, isFirst = false): void {
     const endedAtMs = this.time.monotonicMs();
     if (!records.has(this.ownRecord.name)) this.listing = undefined;
-    else this.listing ??= {sinceMs: endedAtMs, isFormerProcess: isFirst};
+    else this.listing ??= {sinceMs: endedAtMs, isFromFormerProcess: isFirst};
     if (records.size < this.records.size) {
       const recent = this.earlierSizes.filter(size => endedAtMs - size.endedAtMs <= maxSizeAgeMs);
       this.earlierSizes = [...recent, {size: this.records.size, endedAtMs}];
--- a/packages/gateway/src/peers/sender_fleet.ts
+++ b/packages/gateway/src/peers/sender_fleet.ts
@@ -11,9 +11,11 @@
 import type {TimeSource} from '@cuminsill/utils';
 import type {PeerTable} from './peer_table';
 
-/** Time between two requests of a sender, and time within which gateways that reach the store have read a new record. */
+/** Times after which gateways know each other. */
 export interface SenderFleetTiming {
+  /** Minimum time between two requests of a sender. */
   readonly sendIntervalMs: number;
+  /** Time within which gateways that reach the store have read a new record. */
   readonly maxListLagMs: number;
 }
 
@@ -30,9 +32,9 @@
     const {ownListing} = this.peers;
     if (ownListing === undefined) return undefined;
     const {sendIntervalMs, maxListLagMs} = this.timing;
-    // A former process may have sent just before this one started. The others know its record already; a new record they
-    // have yet to read, and those that lose their rank by it may have sent just before.
-    const waitMs = ownListing.isFormerProcess ? sendIntervalMs : sendIntervalMs + maxListLagMs;
+    // A former process may have sent just before this one started, and the others know its record. They have yet to read a
+    // new record, and a gateway that loses its rank by it may have sent just before.
+    const waitMs = ownListing.isFromFormerProcess ? sendIntervalMs : sendIntervalMs + maxListLagMs;
     if (this.time.monotonicMs() - ownListing.sinceMs < waitMs) return undefined;
     return this.peers.knownGatewayNames();
   }
--- a/packages/gateway/src/targets/cold_target_limiter.ts
+++ b/packages/gateway/src/targets/cold_target_limiter.ts
@@ -14,7 +14,7 @@
 /** Minimum interval of one gateway's requests to a cold target: one second plus the jitter of network delays. */
 export const minColdIntervalMs = 1_100;
 
-/** A list lags by the time between two reads of the gateways' feed and the answers of the store. */
+/** The feed of gateways reads changes twice a second; the rest of the lag is for the answers of the store. */
 export const coldSenderTiming: SenderFleetTiming = {
   sendIntervalMs: minColdIntervalMs,
   maxListLagMs: 1_100,
