--- a/packages/gateway/__tests__/cold_target_bound.test.ts
+++ b/packages/gateway/__tests__/cold_target_bound.test.ts
@@ -39,11 +39,16 @@
 /** Gateways are stopped one after the other; a record is removed at the stop and written at the start. */
 const rollIntervalMs = 250;
 const rollDownMs = 4_000;
+/** A gateway that stops gracefully takes requests for this long after it has removed its record. */
+const serveAfterRemovalMs = 2_700;
 const isRolled = (gateway: number, timeMs: number) =>
   isOff(timeMs, eventMs + gateway * rollIntervalMs, rollDownMs);
-/** A gateway that stops gracefully takes requests for a while after it has removed its record. */
 const isStoppedInRoll = (gateway: number, timeMs: number) =>
-  isOff(timeMs, eventMs + 2_700 + gateway * rollIntervalMs, rollDownMs - 2_700);
+  isOff(
+    timeMs,
+    eventMs + serveAfterRemovalMs + gateway * rollIntervalMs,
+    rollDownMs - serveAfterRemovalMs,
+  );
 
 const cases: readonly BoundCase[] = [
   {name: 'all hear each other', gatewayCounts: [3, 10, 87], events: () => ({})},
@@ -162,19 +167,19 @@
   },
 );
 
-interface UseCase {
+interface UsageCase {
   readonly name: string;
   readonly events: Events;
   /** From when on the requests count. */
   readonly fromMs: number;
-  /** Part of the senders of a fleet in which all run that are left at least. */
+  /** Fraction of the senders of a whole fleet that must go on sending at least. */
   readonly minFraction: number;
 }
 
 const useGatewayCount = 87;
 const useDurationMs = 6_000;
 /** Ranks depend on names, so the senders to one target may be hit by more than the average. */
-const useCases: readonly UseCase[] = [
+const useCases: readonly UsageCase[] = [
   {name: 'all hear each other', events: {}, fromMs: 0, minFraction: 1},
   {
     name: 'a quarter is down for good',
--- a/packages/gateway/src/forwarding/record_exchange_start.ts
+++ b/packages/gateway/src/forwarding/record_exchange_start.ts
@@ -30,6 +30,7 @@
   paths.recordSend();
   if (!target.isCold(nowMs)) return undefined;
   metrics.coldSend(target.service);
+  // None are ranked if the target became cold after it was chosen by a gateway that may not send by rank yet.
   const senderNames = senderFleet.names() ?? [];
   const senderRank = target.coldLimiter.rankOf(target.id, settings.value.name, senderNames);
   return {senderRank, rankedGateways: senderNames.length};
