Take an answer without a length as cut when its connection was reset

Cause: when data and a reset arrive together, epoll reports EPOLLIN, EPOLLERR and EPOLLHUP at once. libuv reads the data, and as the read was partial and EPOLLHUP is set it reports an end of file without reading on, so that ECONNRESET is never seen (strace: one read of 1,019 bytes, then the end). A body without a length ends with its connection, so Node's client marks it complete. That the upload was still being written plays no part; it only makes the reset come right behind the data, because the kernel resets a connection that is closed with unread bytes. The same reading acts for other gateways and for the store.

Change: at the end of a response without Content-Length, the connection is asked for its peer. It has none after a reset (Linux: getpeername fails in the state CLOSE) and has one after an ordered close (CLOSE-WAIT). Without a peer, a response that the parser has not found complete is an error of its request. An ordered close still ends an answer, also one that came before the whole upload was read.

--- a/packages/gateway/__fixtures__/raw_target.ts
+++ b/packages/gateway/__fixtures__/raw_target.ts
@@ -4,7 +4,8 @@
 import {systemTime} from '@cuminsill/utils';
 import {Effect} from 'effect';
 import {classifyResponse} from '../src/forwarding/judge_response';
-import type {ExchangeEnd} from '../src/forwarding/target_exchange';
+import {classifyRelayed} from '../src/forwarding/relay_exchange';
+import type {Exchange, ExchangeEnd} from '../src/forwarding/target_exchange';
 import {exchangeWithTarget} from '../src/forwarding/target_exchange';
 import {BodyMemory, bodyRoomOf} from '../src/memory/body_memory';
 import type {CallerRequest} from '../src/requests/caller_request';
@@ -21,23 +22,55 @@
   }),
 } as RequestWire;
 
-const request = {
-  requestId: rawRequestId,
-  method: 'GET',
-  path: '/',
-  body: Buffer.alloc(0),
-  rawHeaders: ['Host', 'one.example', 'Request-Id', rawRequestId],
-} as unknown as CallerRequest;
+/** A read, or with a body an upload. */
+function requestWith(body: Buffer): CallerRequest {
+  return {
+    requestId: rawRequestId,
+    method: body.length === 0 ? 'GET' : 'POST',
+    path: '/',
+    body,
+    rawHeaders: ['Host', 'one.example', 'Request-Id', rawRequestId],
+  } as unknown as CallerRequest;
+}
+
+/** Who answers: a target, or another gateway that relays the request. */
+export type Receiver = 'target' | 'relay';
+
+/** Makes the judge of a receiver's responses. */
+type Classifier = (request: CallerRequest) => Exchange['classify'];
+
+const classifiers: Readonly<Record<Receiver, Classifier>> = {
+  target: request => response => classifyResponse(response, request, requestWire),
+  relay: request => response => classifyRelayed(requestWire, request, response),
+};
 
-/** How the target closes a connection after its bytes. */
-export type Closing = (socket: net.Socket) => void;
+/** Names of the receivers, for tables of cases. */
+export const receivers = Object.keys(classifiers) as readonly Receiver[];
+
+/** How the target ends a connection: writes its bytes and closes. It reads nothing more of the request. */
+export type Closing = (socket: net.Socket, answer: Buffer) => void;
 
 /** Closings by name, for tables of cases. */
 export const closings = {
-  'half-closes': socket => void socket.end(),
-  resets: socket => void socket.resetAndDestroy(),
+  'half-closes': (socket, answer) => void socket.end(answer),
+  resets: (socket, answer) => {
+    if (answer.length === 0) socket.resetAndDestroy();
+    else socket.write(answer, () => socket.resetAndDestroy());
+  },
+  // The answer and the reset arrive together.
+  'resets at once': (socket, answer) => {
+    socket.write(answer);
+    socket.resetAndDestroy();
+  },
 } as const satisfies Readonly<Record<string, Closing>>;
 
+/** Parameters of an exchange that differ from its default: a read at a target. */
+export interface RawExchangeOptions {
+  readonly receiver?: Receiver;
+  /** Body of the request. */
+  readonly body?: Buffer;
+}
+
 /** The target. */
 export class RawTarget {
   private answer: Buffer = Buffer.alloc(0);
@@ -46,8 +79,8 @@
   private readonly server = net.createServer(socket => {
     socket.on('error', () => undefined);
     socket.once('data', () => {
-      if (this.answer.length === 0) this.close(socket);
-      else socket.write(this.answer, () => this.close(socket));
+      socket.pause();
+      this.close(socket, this.answer);
     });
   });
 
@@ -61,9 +94,14 @@
   }
 
   /** Sends a request on a connection of its own; the target answers with these bytes and closes. */
-  exchange(answer: Buffer, close: Closing): Promise<ExchangeEnd> {
+  exchange(
+    answer: Buffer,
+    close: Closing,
+    {receiver = 'target', body = Buffer.alloc(0)}: RawExchangeOptions = {},
+  ): Promise<ExchangeEnd> {
     this.answer = answer;
     this.close = close;
+    const request = requestWith(body);
     const {port} = this.server.address() as AddressInfo;
     return Effect.runPromise(
       exchangeWithTarget({
@@ -71,7 +109,7 @@
         receiver: {id: 'target', address: {host: '127.0.0.1', port}},
         addedHeaders: {},
         replacedHeaders: new Set(),
-        classify: response => classifyResponse(response, request, requestWire),
+        classify: classifiers[receiver](request),
         connections: this.connections,
         memory: new BodyMemory(bodyRoomOf(350)),
         time: systemTime,
--- a/packages/gateway/src/forwarding/target_exchange.ts
+++ b/packages/gateway/src/forwarding/target_exchange.ts
@@ -9,7 +9,7 @@
 import type {Socket} from 'node:net';
 import type {SocketAddress} from '@cuminsill/types';
 import type {TimeSource} from '@cuminsill/utils';
-import {areHeadersValid, isFinalStatus, isHeaderText} from '@cuminsill/utils';
+import {areHeadersValid, isFinalStatus, isHeaderText, reportResponseFaults} from '@cuminsill/utils';
 import {Effect} from 'effect';
 import type {BodyOverflow} from '../memory/body_buffer';
 import {BodyBuffer} from '../memory/body_buffer';
@@ -131,6 +131,7 @@
 
   start(): void {
     const {outgoing} = this;
+    reportResponseFaults(outgoing, fault => this.onError(fault));
     outgoing.on('socket', socket => this.guard(() => this.onSocket(socket)));
     outgoing.on('response', response => this.guard(() => this.onResponse(response)));
     outgoing.on('error', error => this.onError(error));
--- a/packages/standins/src/users_platform/endpoint_server.ts
+++ b/packages/standins/src/users_platform/endpoint_server.ts
@@ -22,6 +22,8 @@
   | 'cut'
   /** Runs the request, answers without a content length and closes the connection in the middle of the body. */
   | 'unframed-cut'
+  /** Answers before the body of the request has arrived, without a content length, and resets the connection in the middle. */
+  | 'early-reset'
   /** Runs the request and sends its answer twice on the connection. */
   | 'extra'
   /** Rejects the request before its body has arrived and keeps the connection open. */
@@ -104,6 +106,7 @@
     silent: () => undefined,
     cut: answer => answer.sendCutAnswer(),
     'unframed-cut': answer => answer.sendUnframedCutAnswer(),
+    'early-reset': answer => answer.sendUnframedResetAnswer(),
     extra: answer => answer.sendAnswerTwice(),
     early: answer => answer.reject(503),
     rewritten: answer => answer.sendRewritten(this.rewriteAnswer),
@@ -157,7 +160,7 @@
   }
 
   private admit(request: http.IncomingMessage, answer: EndpointAnswer, mode: AnswerMode): void {
-    if (mode === 'early' || mode === 'shed') this.answerWriters[mode](answer);
+    if (modesWithoutRun.has(mode)) this.answerWriters[mode](answer);
     else this.enqueue(request, answer, mode);
   }
 
@@ -228,6 +231,9 @@
 
 type AnswerWriter = (answer: EndpointAnswer) => void;
 
+/** Modes that answer without waiting for the body of the request. */
+const modesWithoutRun: ReadonlySet<AnswerMode> = new Set(['early', 'early-reset', 'shed']);
+
 /** Length after which a cut body ends. */
 const cutAfterBytes = 8;
 const shortChunk = 'c\r\ndata: 1234\n\n\r\n';
@@ -295,6 +301,13 @@
     this.socket.end(`${this.rawResponseHead('Connection: close')}${start}`);
   }
 
+  sendUnframedResetAnswer(): void {
+    const start = this.body().slice(0, cutAfterBytes);
+    this.socket.write(`${this.rawResponseHead('Connection: close')}${start}`);
+    // In the same turn of the event loop: the reset must arrive with the bytes.
+    this.socket.resetAndDestroy();
+  }
+
   /** Sends the start, and then the piece again and again. */
   sendEndless(start: string, piece: string): void {
     const pieces = Buffer.from(piece.repeat(piecesPerWrite));
--- a/packages/utils/src/index.ts
+++ b/packages/utils/src/index.ts
@@ -6,5 +6,6 @@
 export * from './json_fields';
 export * from './random';
 export * from './rendezvous';
+export * from './response_faults';
 export * from './time';
 export * from './token_bucket';
--- /dev/null
+++ b/packages/utils/src/response_faults.ts
@@ -0,0 +1,31 @@
+/**
+ * Faults of responses that Node's HTTP client does not report. Whoever reads responses of other processes treats them like
+ * an error of the request.
+ */
+import type {ClientRequest, IncomingMessage} from 'node:http';
+
+/** Receives the fault of a response, at the latest before the response ends. */
+export type ResponseFaultObserver = (fault: Error) => void;
+
+/** Reports the faults of the response to this request. Must be called before the request's connection is established. */
+export function reportResponseFaults(request: ClientRequest, onFault: ResponseFaultObserver): void {
+  request.on('response', response => {
+    if (response.headers['content-length'] === undefined) reportReset(response, onFault);
+  });
+}
+
+/**
+ * Reports a reset in the middle of a response. If a reset arrives together with data, libuv reads the data and reports an
+ * ordered close, by which a body without a length looks complete. A connection that was reset has no peer any more; one that
+ * the other side has closed in order still has.
+ */
+function reportReset(response: IncomingMessage, onFault: ResponseFaultObserver): void {
+  const {socket} = response;
+  const onEnd = () => {
+    const hasPeer = socket.remoteAddress !== undefined;
+    if (!response.complete && !hasPeer) onFault(new Error('connection was reset'));
+  };
+  // The client's own listener, which ends the response, comes later.
+  socket.prependOnceListener('end', onEnd);
+  response.once('close', () => socket.off('end', onEnd));
+}
