Check heads of answers wherever they are read, also for folded lines

Callers saw: an answer whose head held a field name that began with a blank counted as the target's answer, with that line passed on behind the value of the line before it. Calls to the store took an answer with status 000 as a success, for example of a registration.

Cause: releases of Node.js 20 differ in what they accept (llhttp 8 up to 20.19, llhttp 9.3 in 20.20.2), and so does the lenient parser of one release. Two gaps were left in the gateway's own check. A parser that accepts a folded line appends it to the value before it, where the parsed head no longer shows it. And the store's client had no check at all, so that a status below 100 was 'less than 300'. Status 000 and a blank or a control byte within a name were handled already for targets and relays.

Change: the head is checked where faults of responses are reported, so for targets, relays and the store alike, as soon as it is read. Its bytes are kept until then and looked at for lines that begin with white space. RFC 9112 (5.2) lets a gateway discard such a message.

--- a/packages/gateway/__fixtures__/raw_target.ts
+++ b/packages/gateway/__fixtures__/raw_target.ts
@@ -75,7 +75,6 @@
 export class RawTarget {
   private answer: Buffer = Buffer.alloc(0);
   private close: Closing = closings['half-closes'];
-  private readonly connections = new TargetConnections(net.connect);
   private readonly server = net.createServer(socket => {
     socket.on('error', () => undefined);
     socket.once('data', () => {
@@ -89,7 +88,6 @@
   }
 
   stop(): void {
-    this.connections.destroy();
     this.server.close();
   }
 
@@ -102,6 +100,7 @@
     this.answer = answer;
     this.close = close;
     const request = requestWith(body);
+    const connections = new TargetConnections(net.connect);
     const {port} = this.server.address() as AddressInfo;
     return Effect.runPromise(
       exchangeWithTarget({
@@ -110,7 +109,7 @@
         addedHeaders: {},
         replacedHeaders: new Set(),
         classify: classifiers[receiver](request),
-        connections: this.connections,
+        connections,
         memory: new BodyMemory(bodyRoomOf(350)),
         time: systemTime,
         remainingMs: 5_000,
@@ -118,6 +117,6 @@
         isAtMostOnce: true,
         onConnected: () => undefined,
       }),
-    );
+    ).finally(() => connections.destroy());
   }
 }
--- a/packages/gateway/src/forwarding/target_exchange.ts
+++ b/packages/gateway/src/forwarding/target_exchange.ts
@@ -9,7 +9,7 @@
 import type {Socket} from 'node:net';
 import type {SocketAddress} from '@cuminsill/types';
 import type {TimeSource} from '@cuminsill/utils';
-import {areHeadersValid, isFinalStatus, isHeaderText, reportResponseFaults} from '@cuminsill/utils';
+import {reportResponseFaults} from '@cuminsill/utils';
 import {Effect} from 'effect';
 import type {BodyOverflow} from '../memory/body_buffer';
 import {BodyBuffer} from '../memory/body_buffer';
@@ -17,7 +17,6 @@
 import type {CallerRequest} from '../requests/caller_request';
 import {endToEndHeaders} from '../requests/end_to_end_headers';
 import type {TargetHead} from '../requests/request_wire';
-import {lostResponse} from './judge_response';
 import type {TargetConnections, TargetRequestOptions} from '../targets/target_connections';
 import {maxIdleForAtMostOnceMs} from '../targets/target_connections';
 
@@ -199,6 +198,8 @@
   }
 
   private onResponse(response: http.IncomingMessage): void {
+    // The head may have been at fault.
+    if (this.hasEnded) return;
     const firstByteMs = this.exchange.time.monotonicMs() - this.startedAtMs;
     // A target may answer before it has read the whole body, and would take the next request for the rest of it.
     const isEarlyAnswer = !this.outgoing.writableFinished;
@@ -242,9 +243,7 @@
     firstByteMs: number,
     answeredEarly: boolean,
   ): void {
-    const end = isWellFormed(response)
-      ? this.exchange.classify({response, body, firstByteMs})
-      : lostResponse('malformed head');
+    const end = this.exchange.classify({response, body, firstByteMs});
     const reportedEnd = end.kind === 'lost' ? this.lostEnd(end.detail) : end;
     if (answeredEarly || reportedEnd.kind === 'lost') this.abort(reportedEnd);
     else {
@@ -306,9 +305,3 @@
 function unsentEnd(detail: string): ExchangeEnd {
   return {kind: 'unsent', detail};
 }
-
-/** False for a head that the parser accepts although it breaks the grammar of HTTP: such bytes are no answer. */
-function isWellFormed({statusCode, statusMessage, rawHeaders}: http.IncomingMessage): boolean {
-  if (!isFinalStatus(statusCode ?? 0) || !isHeaderText(statusMessage ?? '')) return false;
-  return areHeadersValid(rawHeaders);
-}
--- a/packages/utils/src/http_syntax.ts
+++ b/packages/utils/src/http_syntax.ts
@@ -9,6 +9,10 @@
 const plainTextPattern = /^[\t\x20-\x7e]*$/;
 /** A request target has no white space and no control characters. */
 const requestTargetPattern = /^[\x21-\x7e\x80-\xff]+$/;
+const foldedLinePattern = /\n[\t ]/;
+const carriageReturn = 0x0d;
+const lineFeed = 0x0a;
+const blankLine = '\r\n\r\n';
 /** Status codes of final responses. */
 const minFinalStatus = 200;
 const maxFinalStatus = 599;
@@ -44,3 +48,40 @@
     index % 2 === 0 ? isHeaderName(text) : isHeaderText(text),
   );
 }
+
+/** What Node's `http` has read of the head of a response. */
+export interface ResponseHead {
+  readonly statusCode?: number | undefined;
+  readonly statusMessage?: string | undefined;
+  readonly rawHeaders: readonly string[];
+}
+
+/** False for a head that the parser accepts although it breaks the grammar. */
+export function isResponseHeadValid({
+  statusCode = 0,
+  statusMessage = '',
+  rawHeaders,
+}: ResponseHead): boolean {
+  return isFinalStatus(statusCode) && isHeaderText(statusMessage) && areHeadersValid(rawHeaders);
+}
+
+/**
+ * True if a line of the heads at the start of these bytes begins with white space, or if the heads have no end. Some parsers
+ * append such a line to the value of the header before it, where it can no longer be seen.
+ * @param headCount Number of heads: those of interim responses, and that of the final one.
+ */
+export function hasFoldedLine(bytes: Buffer, headCount: number): boolean {
+  let end = 0;
+  for (let index = 0; index < headCount; index += 1) {
+    end = bytes.indexOf(blankLine, skipLineEnds(bytes, end));
+    if (end === -1) return true;
+  }
+  return foldedLinePattern.test(bytes.toString('latin1', 0, end));
+}
+
+/** A parser passes over empty lines before a head. */
+function skipLineEnds(bytes: Buffer, start: number): number {
+  let index = start;
+  while (bytes[index] === carriageReturn || bytes[index] === lineFeed) index += 1;
+  return index;
+}
--- a/packages/utils/src/response_faults.ts
+++ b/packages/utils/src/response_faults.ts
@@ -3,17 +3,40 @@
  * an error of the request.
  */
 import type {ClientRequest, IncomingMessage} from 'node:http';
+import type {Socket} from 'node:net';
+import {hasFoldedLine, isResponseHeadValid} from './http_syntax';
 
 /** Receives the fault of a response, at the latest before the response ends. */
 export type ResponseFaultObserver = (fault: Error) => void;
 
 /** Reports the faults of the response to this request. Must be called before the request's connection is established. */
 export function reportResponseFaults(request: ClientRequest, onFault: ResponseFaultObserver): void {
-  request.on('response', response => {
+  request.once('socket', socket => reportMalformedHead(request, socket, onFault));
+  request.once('response', response => {
     if (response.headers['content-length'] === undefined) reportReset(response, onFault);
   });
 }
 
+/** Releases of Node.js differ in the heads that their parsers accept, so the head is checked here as well. */
+function reportMalformedHead(
+  request: ClientRequest,
+  socket: Socket,
+  onFault: ResponseFaultObserver,
+): void {
+  const chunks: Buffer[] = [];
+  let headCount = 1;
+  const onData = (chunk: Buffer) => void chunks.push(chunk);
+  // Before the client's own listener, which parses the bytes and so reports the response.
+  socket.prependListener('data', onData);
+  request.on('information', () => (headCount += 1));
+  request.once('response', response => {
+    socket.off('data', onData);
+    const isValid =
+      isResponseHeadValid(response) && !hasFoldedLine(Buffer.concat(chunks), headCount);
+    if (!isValid) onFault(new Error('malformed head'));
+  });
+}
+
 /**
  * Reports a reset in the middle of a response. If a reset arrives together with data, libuv reads the data and reports an
  * ordered close, by which a body without a length looks complete. A connection that was reset has no peer any more; one that
