Take an answer with a transfer coding other than chunks as none

Callers would see: a body that is not the target's. Transfer-Encoding concerns one connection and is not passed on, while Node.js decodes chunks only; the bytes of 'gzip' or 'gzip, chunked' reached the caller as the body, without the coding and, without chunks, as if they had a length. Nobody has reported it; found while the framing of answers without a length was read.

Change: such a response is a fault like a malformed head, for targets, relays and the store. A Content-Encoding was refused already.

--- a/packages/gateway/__tests__/malformed_heads.test.ts
+++ b/packages/gateway/__tests__/malformed_heads.test.ts
@@ -6,7 +6,8 @@
 beforeAll(() => target.start());
 afterAll(() => target.stop());
 
-const headers = `Request-Id: ${rawRequestId}\r\nResponse-Stamp: s\r\nContent-Length: 2\r\n`;
+const unframed = `Request-Id: ${rawRequestId}\r\nResponse-Stamp: s\r\n`;
+const headers = `${unframed}Content-Length: 2\r\n`;
 
 const cases = [
   {name: 'a sound head', answer: `HTTP/1.1 200 OK\r\n${headers}\r\nok`, end: 'answered'},
@@ -37,6 +38,21 @@
     answer: `HTTP/1.1 200 OK\r\nServer\x01Load: 1\r\n${headers}\r\nok`,
     end: 'lost',
   },
+  {
+    name: 'a body in chunks',
+    answer: `HTTP/1.1 200 OK\r\n${unframed}Transfer-Encoding: Chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n`,
+    end: 'answered',
+  },
+  {
+    name: 'a compressed transfer without chunks',
+    answer: `HTTP/1.1 200 OK\r\n${unframed}Transfer-Encoding: gzip\r\n\r\nok`,
+    end: 'lost',
+  },
+  {
+    name: 'a compressed transfer in chunks',
+    answer: `HTTP/1.1 200 OK\r\n${unframed}Transfer-Encoding: gzip, chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n`,
+    end: 'lost',
+  },
 ] as const;
 
 /** Guards against an answer that reaches a caller although its head is none, and against sound heads that count as malformed. */
--- a/packages/utils/src/response_faults.ts
+++ b/packages/utils/src/response_faults.ts
@@ -34,6 +34,7 @@
     const isValid =
       isResponseHeadValid(response) && !hasFoldedLine(Buffer.concat(chunks), headCount);
     if (!isValid) onFault(new Error('malformed head'));
+    else if (!hasDecodedBody(response)) onFault(new Error('unknown transfer coding'));
   });
 }
 
@@ -52,3 +53,9 @@
   socket.prependOnceListener('end', onEnd);
   response.once('close', () => socket.off('end', onEnd));
 }
+
+/** Node.js decodes chunks; with another transfer coding, what it hands on is not the body. */
+function hasDecodedBody({headers}: IncomingMessage): boolean {
+  const coding = headers['transfer-encoding'];
+  return coding === undefined || coding.toLowerCase() === 'chunked';
+}
