Release the parser of a connection on which another answer follows

Callers would see: the gateway runs out of memory and ends with all its requests (LOST). A target, or the store, that sends a whole answer of 200 kB and then the head of a second one cost about 250 kB for each such answer, for good.

Cause: Node's client destroys a connection on which a second head arrives. The first response ends before the connection has closed, and as the connection was to be kept, the client takes off its own listeners to return it for reuse, the one for the close among them. That listener would have released the parser; and as the second head has replaced the first one in the parser, the release after a complete response was left out as well. A parser that is not released stays, with request, answer and buffers.

Change: when a response ends on a connection that is destroyed already, its request no longer asks for reuse. Node's client then leaves its listener for the close, which releases the parser. No internals of Node.js are used.

--- a/packages/utils/src/response_faults.ts
+++ b/packages/utils/src/response_faults.ts
@@ -14,9 +14,18 @@
   request.once('socket', socket => reportMalformedHead(request, socket, onFault));
   request.once('response', response => {
     if (response.headers['content-length'] === undefined) reportReset(response, onFault);
+    response.prependOnceListener('end', () => keepFromReuse(request));
   });
 }
 
+/**
+ * Node's client destroys a connection on which another head follows the response, but then still returns it for reuse, and so
+ * never releases its parser with the request and the response. Without reuse, it releases them when the connection closes.
+ */
+function keepFromReuse(request: ClientRequest): void {
+  if (request.socket?.destroyed === true) request.shouldKeepAlive = false;
+}
+
 /** Releases of Node.js differ in the heads that their parsers accept, so the head is checked here as well. */
 function reportMalformedHead(
   request: ClientRequest,
