--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -11,6 +11,8 @@
 export * from './gateway_ports';
 export {decodeSettings, SettingsError} from './gateway_settings';
 export * from './gateway_types';
+export {BodyBuffer} from './memory/body_buffer';
+export type {BodyReservation} from './memory/body_memory';
 export * from './pages/lookup_wire';
 export * from './store/object_source';
 export * from './requests/request_wire';
