Bound what comes before the head of an answer

Callers saw: requests to sound targets were answered seconds late, while one target sent interim responses (100, 103) or empty lines without end in place of an answer. The gateway's event loop was busy with them until the deadline of each request.

Cause: the parser bounds one head, not the number of interim responses nor the empty lines before a head, and the gateway had no bound for them.

Change: an exchange ends as lost after more than 16 interim responses, or when 64 KiB have come without the head of the final response. Targets, relays and calls of the store use it.

--- a/packages/standins/src/users_platform/endpoint_server.ts
+++ b/packages/standins/src/users_platform/endpoint_server.ts
@@ -32,6 +32,10 @@
   | 'rewritten'
   /** Runs the request and sends a head without end, until the caller closes the connection. */
   | 'endless-head'
+  /** Runs the request and sends interim responses without end, until the caller closes the connection. */
+  | 'endless-interim-responses'
+  /** Runs the request and sends empty lines without end before any head, until the caller closes the connection. */
+  | 'endless-empty-lines'
   /** Runs the request and sends a body without end, until the caller closes the connection. */
   | 'endless-body'
   /** Runs the request and sends short chunks without end, until the caller closes the connection. */
@@ -111,6 +115,9 @@
     early: answer => answer.reject(503),
     rewritten: answer => answer.sendRewritten(this.rewriteAnswer),
     'endless-head': answer => answer.sendEndless('HTTP/1.1 200 OK\r\n', 'Filler: x\r\n'),
+    'endless-interim-responses': answer =>
+      answer.sendEndless('', 'HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n'),
+    'endless-empty-lines': answer => answer.sendEndless('', '\r\n'),
     'endless-chunks': answer =>
       answer.sendEndless(answer.rawResponseHead('Transfer-Encoding: chunked'), shortChunk),
     'endless-body': answer => answer.sendEndless(answer.rawResponseHead('Connection: close'), 'x'),
--- a/packages/utils/src/response_faults.ts
+++ b/packages/utils/src/response_faults.ts
@@ -6,12 +6,17 @@
 import type {Socket} from 'node:net';
 import {hasFoldedLine, isResponseHeadValid} from './http_syntax';
 
+/** Interim responses that are accepted; each costs the time of a response. */
+const maxInterimResponses = 16;
+/** Bytes that are accepted before the read that completes the head; exceeds the heads that the parser accepts. */
+const maxBytesBeforeResponse = 64 * 1024;
+
 /** Receives the fault of a response, at the latest before the response ends. */
 export type ResponseFaultObserver = (fault: Error) => void;
 
 /** Reports the faults of the response to this request. Must be called before the request's connection is established. */
 export function reportResponseFaults(request: ClientRequest, onFault: ResponseFaultObserver): void {
-  request.once('socket', socket => reportMalformedHead(request, socket, onFault));
+  request.once('socket', socket => reportHeadFaults(request, socket, onFault));
   request.once('response', response => {
     if (response.headers['content-length'] === undefined) reportReset(response, onFault);
     response.prependOnceListener('end', () => keepFromReuse(request));
@@ -26,22 +31,33 @@
   if (request.socket?.destroyed === true) request.shouldKeepAlive = false;
 }
 
-/** Releases of Node.js differ in the heads that their parsers accept, so the head is checked here as well. */
-function reportMalformedHead(
+/**
+ * Reports a head that does not come or is malformed. Releases of Node.js differ in the heads that their parsers accept, and none
+ * bounds what comes before the head of the final response.
+ */
+function reportHeadFaults(
   request: ClientRequest,
   socket: Socket,
   onFault: ResponseFaultObserver,
 ): void {
   const chunks: Buffer[] = [];
-  let headCount = 1;
-  const onData = (chunk: Buffer) => void chunks.push(chunk);
+  let receivedBytes = 0;
+  let interimResponses = 0;
+  const onData = (chunk: Buffer) => {
+    if (receivedBytes >= maxBytesBeforeResponse) onFault(new Error('no head'));
+    receivedBytes += chunk.length;
+    chunks.push(chunk);
+  };
   // Before the client's own listener, which parses the bytes and so reports the response.
   socket.prependListener('data', onData);
-  request.on('information', () => (headCount += 1));
+  request.on('information', () => {
+    interimResponses += 1;
+    if (interimResponses > maxInterimResponses) onFault(new Error('too many interim responses'));
+  });
   request.once('response', response => {
     socket.off('data', onData);
     const isValid =
-      isResponseHeadValid(response) && !hasFoldedLine(Buffer.concat(chunks), headCount);
+      isResponseHeadValid(response) && !hasFoldedLine(Buffer.concat(chunks), interimResponses + 1);
     if (!isValid) onFault(new Error('malformed head'));
     else if (!hasDecodedBody(response)) onFault(new Error('unknown transfer coding'));
   });
