Read no era of the store from a malformed head

A gateway would see: an answer of the store with status 000 and a Store-Era beyond the last one makes it believe that the store came back from an older copy. The call itself counted as failed since heads are checked, but its head was still read.

Cause: the listener that checks the head was added after the one that reads it.

--- a/packages/utils/src/response_faults.ts
+++ b/packages/utils/src/response_faults.ts
@@ -3,64 +3,71 @@
  * an error of the request.
  */
 import type {ClientRequest, IncomingMessage} from 'node:http';
-import type {Socket} from 'node:net';
 import {hasFoldedLine, isResponseHeadValid} from './http_syntax';
 
 /** Interim responses that are accepted; each costs the time of a response. */
 const maxInterimResponses = 16;
 /** Bytes that are accepted before the read that completes the head; exceeds the heads that the parser accepts. */
-const maxBytesBeforeResponse = 64 * 1024;
+const maxBytesBeforeHead = 64 * 1024;
 
 /** Receives the fault of a response, at the latest before the response ends. */
 export type ResponseFaultObserver = (fault: Error) => void;
 
-/** Reports the faults of the response to this request. Must be called before the request's connection is established. */
+/**
+ * Reports the faults of the response to this request. Must be called before other listeners for the response are added, so that
+ * they find the request destroyed when the observer destroys it.
+ */
 export function reportResponseFaults(request: ClientRequest, onFault: ResponseFaultObserver): void {
-  request.once('socket', socket => reportHeadFaults(request, socket, onFault));
+  const head = new HeadWatch(onFault);
+  // Before the client's own listener, which parses the bytes and so reports the response.
+  request.once('socket', socket => socket.prependListener('data', head.onData));
+  request.on('information', head.onInterimResponse);
   request.once('response', response => {
+    response.socket.off('data', head.onData);
+    head.onResponse(response);
     if (response.headers['content-length'] === undefined) reportReset(response, onFault);
     response.prependOnceListener('end', () => keepFromReuse(request));
   });
 }
 
-/**
- * Node's client destroys a connection on which another head follows the response, but then still returns it for reuse, and so
- * never releases its parser with the request and the response. Without reuse, it releases them when the connection closes.
- */
-function keepFromReuse(request: ClientRequest): void {
-  if (request.socket?.destroyed === true) request.shouldKeepAlive = false;
-}
-
 /**
  * Reports a head that does not come or is malformed. Releases of Node.js differ in the heads that their parsers accept, and none
  * bounds what comes before the head of the final response.
  */
-function reportHeadFaults(
-  request: ClientRequest,
-  socket: Socket,
-  onFault: ResponseFaultObserver,
-): void {
-  const chunks: Buffer[] = [];
-  let receivedBytes = 0;
-  let interimResponses = 0;
-  const onData = (chunk: Buffer) => {
-    if (receivedBytes >= maxBytesBeforeResponse) onFault(new Error('no head'));
-    receivedBytes += chunk.length;
-    chunks.push(chunk);
+class HeadWatch {
+  private readonly chunks: Buffer[] = [];
+  private receivedBytes = 0;
+  private interimResponses = 0;
+
+  constructor(private readonly onFault: ResponseFaultObserver) {}
+
+  readonly onData = (chunk: Buffer): void => {
+    if (this.receivedBytes >= maxBytesBeforeHead) this.onFault(new Error('no head'));
+    this.receivedBytes += chunk.length;
+    this.chunks.push(chunk);
   };
-  // Before the client's own listener, which parses the bytes and so reports the response.
-  socket.prependListener('data', onData);
-  request.on('information', () => {
-    interimResponses += 1;
-    if (interimResponses > maxInterimResponses) onFault(new Error('too many interim responses'));
-  });
-  request.once('response', response => {
-    socket.off('data', onData);
-    const isValid =
-      isResponseHeadValid(response) && !hasFoldedLine(Buffer.concat(chunks), interimResponses + 1);
-    if (!isValid) onFault(new Error('malformed head'));
-    else if (!hasDecodedBody(response)) onFault(new Error('unknown transfer coding'));
-  });
+
+  readonly onInterimResponse = (): void => {
+    this.interimResponses += 1;
+    if (this.interimResponses <= maxInterimResponses) return;
+    this.onFault(new Error('too many interim responses'));
+  };
+
+  onResponse(response: IncomingMessage): void {
+    if (!this.isWellFormed(response)) this.onFault(new Error('malformed head'));
+    else if (!hasDecodedBody(response)) this.onFault(new Error('unknown transfer coding'));
+  }
+
+  private isWellFormed(response: IncomingMessage): boolean {
+    if (!isResponseHeadValid(response)) return false;
+    return !hasFoldedLine(Buffer.concat(this.chunks), this.interimResponses + 1);
+  }
+}
+
+/** Node.js decodes chunks; with another transfer coding, what it hands on is not the body. */
+function hasDecodedBody({headers}: IncomingMessage): boolean {
+  const coding = headers['transfer-encoding'];
+  return coding === undefined || coding.toLowerCase() === 'chunked';
 }
 
 /**
@@ -79,8 +86,10 @@
   response.once('close', () => socket.off('end', onEnd));
 }
 
-/** Node.js decodes chunks; with another transfer coding, what it hands on is not the body. */
-function hasDecodedBody({headers}: IncomingMessage): boolean {
-  const coding = headers['transfer-encoding'];
-  return coding === undefined || coding.toLowerCase() === 'chunked';
+/**
+ * Node's client destroys a connection on which another head follows the response, but then still returns it for reuse, and so
+ * never releases its parser with the request and the response. Without reuse, it releases them when the connection closes.
+ */
+function keepFromReuse(request: ClientRequest): void {
+  if (request.socket?.destroyed === true) request.shouldKeepAlive = false;
 }
