Check responses of targets and of the store in the daemons of instances too

Callers of an entry process saw the same fault as those of the gateway: a part of an answer without a length, whose connection was reset, was relayed as a complete one. An answer with status 000 was answered with 5001 by a failure of the entry; a control character in the reason phrase or an unknown transfer coding was relayed, or broke the connection. In the client of the store, a part of a value that was reset counted as the value.

Cause: as for the gateway; these daemons read responses with code of their own.

Change: they report the same faults. In an entry, a response that has begun is destroyed itself, because destroying only its request would still end it in order. Not done: the client of the store of these daemons has no bound for the size of an answer.

--- a/packages/control/src/instance_list_client.ts
+++ b/packages/control/src/instance_list_client.ts
@@ -7,7 +7,7 @@
 import * as http from 'node:http';
 import type {ListedInstance} from '@cuminsill/membership';
 import type {Instance, Member, SocketAddress} from '@cuminsill/types';
-import {rankByRendezvous} from '@cuminsill/utils';
+import {rankByRendezvous, reportResponseFaults} from '@cuminsill/utils';
 import {decodeJsonOrThrow, Identifier, SocketAddressSchema} from '@cuminsill/validation';
 import {Duration, Effect, Schema} from 'effect';
 
@@ -69,6 +69,10 @@
     const request = http.get({...address, path: '/instances', signal, timeout: idleTimeoutMs});
     request.on('timeout', () => request.destroy(new Error('no data before the idle timeout')));
     request.on('error', reject);
+    reportResponseFaults(request, fault => {
+      reject(fault);
+      request.destroy();
+    });
     request.on('response', response => {
       const chunks: Buffer[] = [];
       let length = 0;
--- a/packages/entry/__tests__/relayed_responses.test.ts
+++ b/packages/entry/__tests__/relayed_responses.test.ts
@@ -2,6 +2,8 @@
 import type {Script} from '../__fixtures__/scripted_target';
 import {echoPath} from '../__fixtures__/scripted_target';
 
+const post = {method: 'POST', headers: {'idempotency-key': 'key'}};
+
 let entry: EntryFixture;
 
 async function startEntry(scripts: readonly Script[], slots = 3): Promise<void> {
@@ -28,6 +30,14 @@
         response.write('part', () => response.destroy());
       },
     ],
+    [
+      'resets its connection behind a part without a length',
+      request => {
+        request.socket.write('HTTP/1.1 200 OK\r\nConnection: close\r\n\r\npart');
+        // In the same turn of the event loop: the reset must arrive with the part.
+        request.socket.resetAndDestroy();
+      },
+    ],
   ])('does not look complete when the target %s', async (_name, script) => {
     await startEntry([script]);
     const response = await entry.send('/svc/reads/a');
@@ -35,6 +45,18 @@
     expect(response.body).toBe('part');
   });
 
+  // Guards against an answer whose head is none, and against an entry that fails over it.
+  it.each<[string, string]>([
+    ['status 000', '000 OK\r\nContent-Length: 0'],
+    ['a control character in the reason phrase', '200 O\x07\r\nContent-Length: 0'],
+    ['a blank at the start of a name', '200 OK\r\nA: b\r\n C: d\r\nContent-Length: 0'],
+    ['a transfer coding that is not decoded', '200 OK\r\nTransfer-Encoding: gzip'],
+  ])('says that the outcome is unknown when the target sends %s', async (_name, head) => {
+    await startEntry([request => void request.socket.end(`HTTP/1.1 ${head}\r\n\r\n`)]);
+    const response = await entry.send('/svc/orders/a', post, 'body');
+    expect(response.headers['x-result-code']).toBe('3002');
+  });
+
   // Guards against a late response that is relayed to the next request on the same connection.
   it('belongs to its own request after an earlier request on the connection timed out', async () => {
     let respondLate: () => void = () => undefined;
--- a/packages/entry/src/send_to_target.ts
+++ b/packages/entry/src/send_to_target.ts
@@ -4,7 +4,7 @@
  */
 import * as http from 'node:http';
 import type {Target} from '@cuminsill/types';
-import {hopByHopHeaders, headersNamedByConnection} from '@cuminsill/utils';
+import {headersNamedByConnection, hopByHopHeaders, reportResponseFaults} from '@cuminsill/utils';
 import {Effect} from 'effect';
 import type {RequestHead} from './request_head';
 import type {ReplayableBody} from './replayable_body';
@@ -88,6 +88,9 @@
       if (!awaitsLateResponse) request.destroy();
       end(isConnected ? {kind: 'timed-out', lateEnd} : {kind: 'timed-out-unsent'});
     }, attempt.remainingMs);
+    let response: http.IncomingMessage | undefined;
+    // A response that has begun would end in order if only its request were destroyed.
+    reportResponseFaults(request, fault => (response ?? request).destroy(fault));
     request.on('socket', socket => {
       if (!socket.connecting) isConnected = true;
       else socket.once('connect', () => (isConnected = true));
@@ -97,7 +100,12 @@
       if (!isConnected) end({kind: 'connect-failed'});
       else end({kind: 'connection-lost', reusedConnection: request.reusedSocket});
     });
-    request.on('response', response => end({kind: 'responded', response}));
+    request.on('response', received => {
+      // The head may have been at fault.
+      if (request.destroyed) return;
+      response = received;
+      end({kind: 'responded', response});
+    });
     body.writeTo(request);
     return Effect.sync(() => {
       clearTimeout(timer);
@@ -116,6 +124,7 @@
       resolve(lostLateEnd);
     }, waitMs);
     request.once('response', response => {
+      if (request.destroyed) return;
       clearTimeout(timer);
       resolve({kind: 'responded', response});
     });
--- a/packages/store/src/http_store.ts
+++ b/packages/store/src/http_store.ts
@@ -11,6 +11,7 @@
  * unknown whether the write took effect.
  */
 import * as http from 'node:http';
+import {reportResponseFaults} from '@cuminsill/utils';
 import {Effect} from 'effect';
 import type {PlatformStore, StoredObject, StoreWriteError} from './platform_store';
 import {StoreAmbiguousError, StoreConflictError, StoreUnavailableError} from './platform_store';
@@ -191,6 +192,10 @@
       });
       request.on('timeout', () => request.destroy(new Error(`no answer in ${call.timeoutMs} ms`)));
       request.on('error', fail);
+      reportResponseFaults(request, fault => {
+        fail(fault);
+        request.destroy();
+      });
       request.on('response', response => {
         const chunks: Buffer[] = [];
         response.on('data', (chunk: Buffer) => chunks.push(chunk));
