--- a/packages/gateway/__tests__/malformed_heads.test.ts
+++ b/packages/gateway/__tests__/malformed_heads.test.ts
@@ -22,6 +22,10 @@
     end: 'answered',
   },
   {name: 'status 000', answer: `HTTP/1.1 000 OK\r\n${headers}\r\nok`, end: 'lost'},
+  {name: 'status 100', answer: `HTTP/1.1 100 OK\r\n${headers}\r\nok`, end: 'lost'},
+  {name: 'status 101', answer: `HTTP/1.1 101 OK\r\n${headers}\r\nok`, end: 'lost'},
+  {name: 'status 199', answer: `HTTP/1.1 199 OK\r\n${headers}\r\nok`, end: 'lost'},
+  {name: 'status 600', answer: `HTTP/1.1 600 OK\r\n${headers}\r\nok`, end: 'lost'},
   {name: 'status 999', answer: `HTTP/1.1 999 OK\r\n${headers}\r\nok`, end: 'lost'},
   {
     name: 'a blank within a name',
