--- a/packages/gateway/__fixtures__/raw_target.ts
+++ b/packages/gateway/__fixtures__/raw_target.ts
@@ -75,7 +75,10 @@
 export class RawTarget {
   private answer: Buffer = Buffer.alloc(0);
   private close: Closing = closings['half-closes'];
+  private readonly sockets = new Set<net.Socket>();
   private readonly server = net.createServer(socket => {
+    this.sockets.add(socket);
+    socket.on('close', () => this.sockets.delete(socket));
     socket.on('error', () => undefined);
     socket.once('data', () => {
       socket.pause();
@@ -87,8 +90,10 @@
     await new Promise<void>(resolve => this.server.listen(0, '127.0.0.1', resolve));
   }
 
+  /** A connection whose bytes are not read does not notice that the other side has closed it. */
   stop(): void {
     this.server.close();
+    for (const socket of this.sockets) socket.destroy();
   }
 
   /** Sends a request on a connection of its own; the target answers with these bytes and closes. */
