--- a/packages/entry/__tests__/relayed_responses.test.ts
+++ b/packages/entry/__tests__/relayed_responses.test.ts
@@ -45,7 +45,7 @@
     expect(response.body).toBe('part');
   });
 
-  // Guards against an answer whose head is none, and against an entry that fails over it.
+  // Guards against a malformed head that reaches a caller, and against an entry that fails because of it.
   it.each<[string, string]>([
     ['status 000', '000 OK\r\nContent-Length: 0'],
     ['a control character in the reason phrase', '200 O\x07\r\nContent-Length: 0'],
--- a/packages/gateway/__tests__/malformed_heads.test.ts
+++ b/packages/gateway/__tests__/malformed_heads.test.ts
@@ -59,7 +59,7 @@
   },
 ] as const;
 
-/** Guards against an answer that reaches a caller although its head is none, and against sound heads that count as malformed. */
+/** Guards against a malformed head that reaches a caller, and against sound heads that count as malformed. */
 describe.each(receivers)('a %s', receiver => {
   test.each(cases)('$name: $end', async ({answer, end}) => {
     const bytes = Buffer.from(answer, 'latin1');
