Deliver linearizable reads of a feed in order with its watch

A linearizable read beside the watch may be answered before or after it. What the read had delivered was followed by the older changes of the watch: with serializable reads that are seconds old, a target that drains became ready again, until its next change.

A read that delivers changes now ends the watch under way. A read whose answer may repeat what the watch has delivered confirms nothing. A read that fails shows that the store may be away, so the watch is made again at once. The feed also tells how far it has come, and a call can be made at once in place of a wait or a pause.

--- /dev/null
+++ b/packages/gateway/__tests__/concurrent_reads.test.ts
@@ -0,0 +1,165 @@
+/** Linearizable reads beside the watch of a feed: answers may come in any order. */
+import {ManualTime} from '@cuminsill/utils';
+import {Effect, Fiber} from 'effect';
+import type {FeedSink} from '../src/store/object_feed';
+import {ObjectFeed} from '../src/store/object_feed';
+import type {ObjectChanges, ObjectSource} from '../src/store/object_source';
+import {SourceError} from '../src/store/object_source';
+
+type Answer = ObjectChanges<string> | 'unavailable';
+
+/** A source whose calls are answered by the test. */
+class HeldSource implements ObjectSource<string> {
+  readonly kind = 'things';
+  /** Calls as they were made. */
+  readonly calls: string[] = [];
+  private readonly answers = new Map<string, (answer: Answer) => void>();
+
+  list() {
+    return Effect.succeed({objects: [], revision: 5, era: 1});
+  }
+
+  changesAfter(revision: number, waitMs: number) {
+    return this.hold(`watch ${revision}${waitMs === 0 ? ' at once' : ''}`);
+  }
+
+  confirmedChangesAfter(revision: number) {
+    return this.hold(`confirm ${revision}`);
+  }
+
+  answer(call: string, answer: Answer): void {
+    this.answers.get(call)?.(answer);
+  }
+
+  private hold(call: string): Effect.Effect<ObjectChanges<string>, SourceError> {
+    return Effect.async(resume => {
+      this.calls.push(call);
+      this.answers.set(call, answer =>
+        resume(
+          answer === 'unavailable'
+            ? Effect.fail(new SourceError('unavailable', 'no answer'))
+            : Effect.succeed(answer),
+        ),
+      );
+      return Effect.sync(() => this.answers.delete(call));
+    });
+  }
+}
+
+function changeTo(revision: number): ObjectChanges<string> {
+  const object = {name: 'x', revision, content: `x at ${revision}`};
+  return {changes: [{object, deleted: false}], revision, era: 1};
+}
+
+function noChange(revision: number): ObjectChanges<string> {
+  return {changes: [], revision, era: 1};
+}
+
+interface Case {
+  readonly name: string;
+  /** Calls that are answered in turn, a watch and a linearizable read having been sent. */
+  readonly answers: ReadonlyArray<readonly [string, Answer]>;
+  readonly events: readonly string[];
+  readonly isConfirmed: boolean;
+  /** The call of the feed afterwards. */
+  readonly lastCall: string;
+}
+
+const cases: readonly Case[] = [
+  {
+    name: 'what the read delivers is not followed by an older state from the watch',
+    answers: [
+      ['confirm 5', changeTo(9)],
+      ['watch 5', changeTo(7)],
+    ],
+    events: ['x at 9'],
+    isConfirmed: true,
+    lastCall: 'watch 9 at once',
+  },
+  {
+    name: 'what the watch delivers is not followed by an older state from the read',
+    answers: [
+      ['watch 5', changeTo(9)],
+      ['confirm 5', changeTo(7)],
+    ],
+    events: ['x at 9'],
+    isConfirmed: true,
+    lastCall: 'watch 9',
+  },
+  {
+    name: 'a read that may repeat what the watch has delivered confirms nothing',
+    answers: [
+      ['watch 5', changeTo(7)],
+      ['confirm 5', changeTo(9)],
+    ],
+    events: ['x at 7'],
+    isConfirmed: false,
+    lastCall: 'watch 7',
+  },
+  {
+    name: 'a read without changes leaves the watch alone',
+    answers: [
+      ['confirm 5', noChange(8)],
+      ['watch 5', changeTo(9)],
+    ],
+    events: ['x at 9'],
+    isConfirmed: true,
+    lastCall: 'watch 9',
+  },
+  {
+    name: 'a read that fails shows that the watch may never be answered',
+    answers: [['confirm 5', 'unavailable']],
+    events: ['lost'],
+    isConfirmed: false,
+    lastCall: 'watch 5 at once',
+  },
+];
+
+/** Guards against a state that an older answer brings back, such as a target that drains and is ready again. */
+test.each(cases)('$name', async ({answers, events, isConfirmed, lastCall}) => {
+  const source = new HeldSource();
+  const seen: string[] = [];
+  const sink: FeedSink<string> = {
+    replace: () => undefined,
+    apply: ({changes}) => seen.push(...changes.map(({object}) => object.content ?? '')),
+    onConnected: () => undefined,
+    onDisconnected: () => seen.push('lost'),
+    onDefect: error => seen.push(String(error)),
+  };
+  const timing = {maxWaitMs: 5, answerTimeoutMs: 1, listTimeoutMs: 1, minIntervalMs: 0};
+  const feed = new ObjectFeed(source, () => timing, sink, new ManualTime());
+  const run = Effect.runFork(feed.run());
+  const settle = () => new Promise(resolve => setTimeout(resolve, 10));
+  await settle();
+  const read = Effect.runPromise(Effect.catchAll(feed.confirm(), () => Effect.succeed(false)));
+  await settle();
+  for (const [call, answer] of answers) {
+    source.answer(call, answer);
+    await settle();
+  }
+  expect(await read).toBe(isConfirmed);
+  expect(seen).toEqual(events);
+  expect(source.calls.at(-1)).toBe(lastCall);
+  await Effect.runPromise(Fiber.interrupt(run));
+});
+
+/** Guards against a change that another gateway has seen and that waits for the end of the pause between two calls. */
+test('a call at once cuts the pause after an answer short', async () => {
+  const source = new HeldSource();
+  const sink: FeedSink<string> = {
+    replace: () => undefined,
+    apply: () => undefined,
+    onConnected: () => undefined,
+    onDisconnected: () => undefined,
+    onDefect: () => undefined,
+  };
+  const timing = {maxWaitMs: 5, answerTimeoutMs: 1, listTimeoutMs: 1, minIntervalMs: 60_000};
+  const feed = new ObjectFeed(source, () => timing, sink, new ManualTime());
+  const run = Effect.runFork(feed.run());
+  await new Promise(resolve => setTimeout(resolve, 10));
+  expect(source.calls).toEqual([]);
+  feed.pollNow();
+  await new Promise(resolve => setTimeout(resolve, 10));
+  expect(source.calls).toEqual(['watch 5 at once']);
+  await Effect.runPromise(Fiber.interrupt(run));
+});
--- a/packages/gateway/src/store/object_feed.ts
+++ b/packages/gateway/src/store/object_feed.ts
@@ -6,7 +6,13 @@
 import type {TimeSource} from '@cuminsill/utils';
 import {Effect} from 'effect';
 import type {FeedTiming} from './feed_timing';
-import type {ObjectChanges, ObjectList, ObjectSource, StoreEra} from './object_source';
+import type {
+  ObjectChange,
+  ObjectChanges,
+  ObjectList,
+  ObjectSource,
+  StoreEra,
+} from './object_source';
 import {areDifferentEras, SourceError} from './object_source';
 import {StoreCircuit} from './store_circuit';
 
@@ -62,10 +68,33 @@
   readonly ageMs: number | undefined;
 }
 
+/** What a feed has delivered to its sink, as revisions of one era. */
+export interface FeedProgress {
+  readonly era: StoreEra;
+  /** The delivered objects are complete up to this revision. */
+  readonly revision: number;
+  /** No object of the kind has changed after this revision and up to `revision`. */
+  readonly changedAtRevision: number;
+  /** When the latest linearizable read was sent that has been delivered, on the monotonic clock in milliseconds. */
+  readonly confirmedAtMs: number;
+}
+
+/** State of the feed when a linearizable read was sent. */
+interface ConfirmedRead {
+  readonly revision: number;
+  readonly era: StoreEra;
+  /** On the monotonic clock. */
+  readonly startedAtMs: number;
+  /** On the clock of the sink's confirmation. */
+  readonly sentAtMs: number;
+}
+
 /** Feed of the objects of one kind. */
 export class ObjectFeed<Content> {
   private revision: number | undefined;
+  private changedAtRevision = 0;
   private era: StoreEra;
+  private confirmedAtMs = Number.NEGATIVE_INFINITY;
   private connected = false;
   private consecutiveFailures = 0;
   private answeredAtMs: number | undefined;
@@ -73,6 +102,8 @@
   private firstFailedCallAtMs: number | undefined;
   /** Ends the call that is under way; undefined between calls. */
   private endCall: (() => void) | undefined;
+  /** Ends the pause after an answer; undefined outside of one. */
+  private endPause: (() => void) | undefined;
   private skipsWait = false;
 
   /** @param timing Returns the timing of the calls, which a reload may change. */
@@ -100,6 +131,18 @@
     return answeredAtMs === undefined ? undefined : this.time.monotonicMs() - answeredAtMs;
   }
 
+  /** What has been delivered; undefined before the first list and while the feed has to list again. */
+  progress(): FeedProgress | undefined {
+    const {revision, changedAtRevision, era, confirmedAtMs} = this;
+    return revision === undefined ? undefined : {era, revision, changedAtRevision, confirmedAtMs};
+  }
+
+  /** Makes a call without a wait at once, in place of the call or the pause that is under way. */
+  pollNow(): void {
+    this.endCall?.();
+    this.endPause?.();
+  }
+
   /**
    * Makes the call that is under way again, without a wait, if it started before the given time. Called when another feed has
    * shown that calls from before that time may never be answered.
@@ -110,43 +153,49 @@
 
   /**
    * Makes a linearizable read beside the calls of `run`, and delivers what it finds. Returns false if it confirms nothing:
-   * before the first list, or when the store's era has changed, so that the feed has to list again.
+   * before the first list, when the store's era has changed, so that the feed has to list again, or when another answer has
+   * delivered changes meanwhile.
    */
   confirm(): Effect.Effect<boolean, SourceError> {
     return Effect.suspend(() => {
       const {revision, era} = this;
       if (revision === undefined) return Effect.succeed(false);
       const sentAtMs = this.sink.confirmation?.nowMs() ?? 0;
+      const read = {revision, era, sentAtMs, startedAtMs: this.time.monotonicMs()};
       const {answerTimeoutMs} = this.timing();
       return this.source.confirmedChangesAfter(revision, answerTimeoutMs).pipe(
-        Effect.map(changes => this.onConfirmedChanges(changes, era, sentAtMs)),
-        Effect.tapError(({failure}) =>
-          Effect.sync(() => {
-            if (failure === 'history-gone') this.listAgain();
-          }),
-        ),
+        Effect.map(changes => this.onConfirmedChanges(changes, read)),
+        Effect.tapError(error => Effect.sync(() => this.onConfirmFailure(error, read))),
       );
     });
   }
 
-  /** @param eraBefore The feed's era when the call was sent. */
-  private onConfirmedChanges(
-    changes: ObjectChanges<Content>,
-    eraBefore: StoreEra,
-    sentAtMs: number,
-  ): boolean {
+  private onConfirmedChanges(changes: ObjectChanges<Content>, read: ConfirmedRead): boolean {
+    this.onAnswer(read.startedAtMs);
     if (areDifferentEras(changes.era, this.era)) this.listAgain();
     // After a change of the era, the answer may lack changes up to the revision with which the call was made.
-    const isSameEra = changes.era === eraBefore && changes.era === this.era;
+    const isSameEra = changes.era === read.era && changes.era === this.era;
     if (!isSameEra || this.revision === undefined) return false;
     if (changes.revision > this.revision) {
-      this.revision = changes.revision;
-      if (changes.changes.length > 0) this.sink.apply(changes);
+      // Changes that were delivered since the call was sent must not be followed by older ones.
+      if (this.changedAtRevision > read.revision) return false;
+      this.deliver(changes, read.revision);
+      // The answer of the watch that is under way would repeat these changes, or show only some of them.
+      if (changes.changes.length > 0) this.endCall?.();
     }
-    this.sink.confirmation?.onConfirmed(sentAtMs, changes.era);
+    this.confirmedAtMs = Math.max(this.confirmedAtMs, read.startedAtMs);
+    this.sink.confirmation?.onConfirmed(read.sentAtMs, changes.era);
     return true;
   }
 
+  private onConfirmFailure(error: SourceError, {startedAtMs}: ConfirmedRead): void {
+    if (error.failure === 'history-gone') this.listAgain();
+    if (error.failure !== 'unavailable') return;
+    this.onUnavailable(error, startedAtMs);
+    // The watch that is under way may wait for an answer that does not come.
+    this.endCall?.();
+  }
+
   private listAgain(): void {
     this.revision = undefined;
     this.endCall?.();
@@ -186,16 +235,34 @@
   }
 
   private pauseAfterAnswer(): Effect.Effect<void> {
-    return Effect.suspend(() => Effect.sleep(this.timing().minIntervalMs));
+    const pause = Effect.suspend(() => Effect.sleep(this.timing().minIntervalMs));
+    return Effect.raceFirst(pause, this.pauseEnded());
+  }
+
+  /** Completes when the pause is to be cut short. */
+  private pauseEnded(): Effect.Effect<void> {
+    return Effect.async<void>(resume => {
+      this.endPause = () => {
+        this.skipsWait = true;
+        resume(Effect.void);
+      };
+      return Effect.sync(() => {
+        this.endPause = undefined;
+      });
+    });
   }
 
   private list(): Effect.Effect<void, SourceError> {
     const sentAtMs = this.sink.confirmation?.nowMs() ?? 0;
+    const {callStartedAtMs} = this;
     return Effect.map(this.source.list(this.timing().listTimeoutMs), list => {
-      this.onAnswer();
+      this.onAnswer(callStartedAtMs);
       this.revision = list.revision;
+      // Objects that were deleted before leave no trace in the list.
+      this.changedAtRevision = list.revision;
       this.era = list.era;
       this.sink.replace(list);
+      this.confirmedAtMs = callStartedAtMs;
       this.sink.confirmation?.onConfirmed(sentAtMs, list.era);
     });
   }
@@ -207,31 +274,50 @@
     const waitMs = this.skipsWait || this.consecutiveFailures > 0 ? 0 : maxWaitMs;
     this.skipsWait = false;
     const timeoutMs = waitMs + answerTimeoutMs;
+    const {callStartedAtMs} = this;
     return Effect.map(this.source.changesAfter(revision, waitMs, timeoutMs), changes => {
-      this.onAnswer();
+      this.onAnswer(callStartedAtMs);
       if (areDifferentEras(changes.era, this.era)) {
         // The restored store may have changes under revisions up to the last one, which this answer leaves out.
         this.revision = undefined;
         return;
       }
       this.era ??= changes.era;
-      // A confirmed read may have gone further in the meantime.
-      this.revision = Math.max(this.revision ?? revision, changes.revision);
-      if (changes.changes.length > 0) this.sink.apply(changes);
+      // A confirmed read may have gone further in the meantime, and these changes may be older than what it has delivered.
+      if (this.changedAtRevision <= revision) this.deliver(changes, revision);
     });
   }
 
-  private onAnswer(): void {
+  /** @param afterRevision The revision after which the changes were asked for. */
+  private deliver(changes: ObjectChanges<Content>, afterRevision: number): void {
+    const formerRevision = this.revision ?? afterRevision;
+    this.revision = Math.max(formerRevision, changes.revision);
+    if (changes.changes.length === 0) return;
+    this.changedAtRevision = Math.max(
+      ...changes.changes.map(change => revisionOfChange(change, changes.revision, afterRevision)),
+    );
+    this.sink.apply(changes);
+  }
+
+  private onAnswer(callStartedAtMs: number): void {
     this.answeredAtMs = this.time.monotonicMs();
     this.circuit.onAnswer(this.answeredAtMs);
     this.consecutiveFailures = 0;
     if (this.connected) return;
     this.connected = true;
     const outageMs = this.answeredAtMs - (this.firstFailedCallAtMs ?? this.answeredAtMs);
-    this.sink.onConnected(outageMs, this.callStartedAtMs);
+    this.sink.onConnected(outageMs, callStartedAtMs);
     this.firstFailedCallAtMs = undefined;
   }
 
+  private onUnavailable(error: SourceError, callStartedAtMs: number): void {
+    if (!this.connected) return;
+    this.connected = false;
+    this.firstFailedCallAtMs = callStartedAtMs;
+    const callMs = this.time.monotonicMs() - callStartedAtMs;
+    this.sink.onDisconnected(error, {callMs, answerAgeMs: this.answerAgeMs()});
+  }
+
   /** The sink may have taken a part of the answer. Without this, an exception would end the feed for good. */
   private onDefect(defect: unknown): Effect.Effect<never, SourceError> {
     this.revision = undefined;
@@ -245,12 +331,9 @@
       return Effect.void;
     }
     if (error.failure === 'undeliverable') return Effect.sleep(maxBackoffMs);
-    if (error.failure === 'unavailable') this.circuit.onUnavailable(this.callStartedAtMs);
-    if (this.connected && error.failure === 'unavailable') {
-      this.connected = false;
-      this.firstFailedCallAtMs = this.callStartedAtMs;
-      const callMs = this.time.monotonicMs() - this.callStartedAtMs;
-      this.sink.onDisconnected(error, {callMs, answerAgeMs: this.answerAgeMs()});
+    if (error.failure === 'unavailable') {
+      this.circuit.onUnavailable(this.callStartedAtMs);
+      this.onUnavailable(error, this.callStartedAtMs);
     }
     this.consecutiveFailures += 1;
     const backoffMs = Math.min(maxBackoffMs, firstBackoffMs * 2 ** (this.consecutiveFailures - 1));
@@ -259,3 +342,16 @@
     return Effect.sleep(Math.max(0, backoffMs * (0.5 + this.random() / 2) - elapsedMs));
   }
 }
+
+/**
+ * Returns an upper bound of the revision of a change in an answer. The object of a deletion may bear the revision of its last
+ * change before, so that only the revision of the answer is certain.
+ */
+function revisionOfChange(
+  {object, deleted}: ObjectChange<unknown>,
+  answerRevision: number,
+  afterRevision: number,
+): number {
+  const isStated = !deleted && object.revision > afterRevision;
+  return isStated ? Math.min(object.revision, answerRevision) : answerRevision;
+}
