--- /dev/null
+++ b/packages/gateway/src/freshness/store_freshness.ts
@@ -0,0 +1,292 @@
+/**
+ * Bounds the age of what a gateway knows of the store.
+ *
+ * Watches use serializable reads, which may show a state that is seconds old. One gateway at a time therefore makes linearizable
+ * reads and passes on what they have shown: the revision of the store, and up to which revision the objects of each kind have
+ * changed. A gateway whose feed has not come as far reads at once. One that gets no such evidence in time reads the store
+ * itself, so that the bound holds whichever gateways fail. Where watches are up to date, only the reader makes calls for this.
+ */
+import type {JsonObject} from '@cuminsill/utils';
+import type {FeedProgress} from '../store/object_feed';
+import type {StoreEra} from '../store/object_source';
+import {areDifferentEras} from '../store/object_source';
+import {
+  catchUpDelayMs,
+  minReadAgeMs,
+  rankDelayMs,
+  readAgeMs,
+  retryDelayMs,
+} from './freshness_timing';
+import type {StoreEvidence} from './store_evidence';
+import {decodeEvidence} from './store_evidence';
+
+/** A feed of objects whose changes must take effect within a bound. */
+export interface BoundedFeed {
+  readonly kind: string;
+  /** Undefined while the feed lists, which is a linearizable read. */
+  progress(): FeedProgress | undefined;
+  /** Makes a serializable read at once. */
+  pollNow(): void;
+  /** Makes a linearizable read and delivers its result before `done` is called with whether it has confirmed anything. */
+  confirm(done: (isConfirmed: boolean) => void): void;
+}
+
+/** What became of evidence from another gateway. */
+export type EvidenceResult = 'fresher' | 'known' | 'older' | 'unreadable';
+
+/** What the bound depends on. */
+export interface FreshnessEnvironment {
+  readonly ownName: string;
+  /** Monotonic clock. */
+  nowMs(): number;
+  /** Time from the store's acknowledgement of a change until it must take effect. */
+  boundMs(): number;
+  feeds(): readonly BoundedFeed[];
+  /** False while the store turns this gateway away. */
+  isStoreAvailable(): boolean;
+  /** Position of this gateway in the order of readers. */
+  rank(): number;
+  /** Sends own evidence to other gateways. */
+  send(evidence: StoreEvidence): void;
+  /** Passes on evidence of another gateway. */
+  forward(evidence: StoreEvidence): void;
+  onEvidence(result: EvidenceResult): void;
+  /** Called when a feed is behind what another gateway has read. */
+  onBehind(kind: string, revision: number, changedAtRevision: number): void;
+}
+
+/** Until when the changes of a kind are known by evidence that is no longer held. */
+interface FormerVerification {
+  readonly era: StoreEra;
+  readonly verifiedAtMs: number;
+}
+
+/** A feed that is behind the evidence. */
+interface CatchUp {
+  /** When the next linearizable read may be made. */
+  readonly nextReadAtMs: number;
+  readonly failureCount: number;
+}
+
+/** Keeps the feeds of one gateway fresh. */
+export class StoreFreshness {
+  private held: StoreEvidence | undefined;
+  private readonly formerVerifications = new Map<string, FormerVerification>();
+  /** Number of the latest evidence of each reader. */
+  private readonly numbers = new Map<string, number>();
+  private readonly catchUps = new Map<string, CatchUp>();
+  private readonly readingKinds = new Set<string>();
+  private isReading = false;
+  private failureCount = 0;
+  private nextReadAtMs = -Infinity;
+  private wasStoreAvailable = true;
+
+  /** @param lastNumber Start of the process in milliseconds, so that evidence of a former one is older. */
+  constructor(
+    private readonly environment: FreshnessEnvironment,
+    private lastNumber: number,
+  ) {}
+
+  /** Time for which changes may be unknown, in milliseconds; undefined while all feeds list. */
+  ageMs(): number | undefined {
+    const verifiedTimes = this.environment.feeds().flatMap(feed => this.verifiedAtMs(feed) ?? []);
+    if (verifiedTimes.length === 0) return undefined;
+    return this.environment.nowMs() - Math.min(...verifiedTimes);
+  }
+
+  /** Reads the store if it is time to. To be called about ten times a second. */
+  tick(): void {
+    const {environment} = this;
+    const isAvailable = environment.isStoreAvailable();
+    // The evidence of all gateways is old when the store comes back; the first reader is to supply them.
+    if (isAvailable && !this.wasStoreAvailable) this.delayByRank();
+    this.wasStoreAvailable = isAvailable;
+    if (!isAvailable) return;
+    this.catchUp();
+    if (this.isReadDue()) this.read();
+  }
+
+  /** Takes evidence of another gateway. */
+  receive(fields: JsonObject): void {
+    const {environment} = this;
+    const evidence = decodeEvidence(fields, environment.nowMs());
+    const result = this.judge(evidence);
+    environment.onEvidence(result);
+    if (evidence === undefined || result === 'unreadable') return;
+    if (result !== 'known') this.numbers.set(evidence.reader, evidence.number);
+    if (result !== 'fresher') return;
+    this.hold(evidence);
+    environment.forward(evidence);
+    if (environment.isStoreAvailable()) this.catchUp();
+  }
+
+  /** Remembers what the former evidence has shown: a feed that is behind the new one is as fresh as before. */
+  private hold(evidence: StoreEvidence): void {
+    for (const feed of this.environment.feeds()) {
+      const era = feed.progress()?.era;
+      const verifiedAtMs = this.verifiedAtMs(feed);
+      if (verifiedAtMs !== undefined) {
+        this.formerVerifications.set(feed.kind, {era, verifiedAtMs});
+      }
+    }
+    this.held = evidence;
+  }
+
+  private judge(evidence: StoreEvidence | undefined): EvidenceResult {
+    if (evidence === undefined) return 'unreadable';
+    const {held, environment} = this;
+    const {reader, number, era, readAtMs} = evidence;
+    if (reader === environment.ownName) return 'known';
+    if (number <= (this.numbers.get(reader) ?? -1)) return 'known';
+    if (held === undefined || isLaterEra(era, held.era)) return 'fresher';
+    if (isLaterEra(held.era, era)) return 'older';
+    return readAtMs > held.readAtMs ? 'fresher' : 'older';
+  }
+
+  private isReadDue(): boolean {
+    const {environment} = this;
+    const nowMs = environment.nowMs();
+    if (this.isReading || nowMs < this.nextReadAtMs) return false;
+    const boundMs = environment.boundMs();
+    const ageMs = this.ageMs() ?? 0;
+    return ageMs >= minReadAgeMs(boundMs) && ageMs >= readAgeMs(environment.rank(), boundMs);
+  }
+
+  private delayByRank(): void {
+    const {environment} = this;
+    this.nextReadAtMs =
+      environment.nowMs() + rankDelayMs(environment.rank(), environment.boundMs());
+  }
+
+  /** Reads one kind, and then those that may have changed since they were read last. */
+  private read(): void {
+    const [first, ...others] = this.environment.feeds();
+    if (first === undefined) return;
+    this.isReading = true;
+    const readAtMs = this.environment.nowMs();
+    first.confirm(isConfirmed => {
+      const shown = isConfirmed ? first.progress() : undefined;
+      if (shown === undefined) {
+        this.endRead(undefined);
+        return;
+      }
+      const incomplete = others.filter(feed => !this.isComplete(feed, shown));
+      confirmAll(incomplete, areConfirmed =>
+        this.endRead(areConfirmed ? this.makeEvidence(shown, readAtMs) : undefined),
+      );
+    });
+  }
+
+  private endRead(evidence: StoreEvidence | undefined): void {
+    const {environment} = this;
+    this.isReading = false;
+    if (evidence === undefined) {
+      this.failureCount += 1;
+      const delayMs = retryDelayMs(this.failureCount, environment.boundMs());
+      this.nextReadAtMs = environment.nowMs() + delayMs;
+      return;
+    }
+    this.failureCount = 0;
+    this.hold(evidence);
+    environment.send(evidence);
+  }
+
+  /** Undefined when the feeds have not all come as far as the read, or are in different eras. */
+  private makeEvidence(shown: FeedProgress, readAtMs: number): StoreEvidence | undefined {
+    const feeds = this.environment.feeds();
+    if (!feeds.every(feed => this.isComplete(feed, shown))) return undefined;
+    this.lastNumber += 1;
+    const {era, revision} = shown;
+    const changedAtRevisions = new Map(
+      feeds.map(feed => [feed.kind, feed.progress()?.changedAtRevision ?? revision]),
+    );
+    const {ownName: reader} = this.environment;
+    return {reader, number: this.lastNumber, era, revision, changedAtRevisions, readAtMs};
+  }
+
+  /** Whether a feed has delivered all changes up to the revision that another feed has been shown. */
+  private isComplete(feed: BoundedFeed, {era, revision}: FeedProgress): boolean {
+    const progress = feed.progress();
+    if (progress === undefined || progress.era !== era) return false;
+    return Math.max(progress.revision, this.verifiedRevision(feed.kind, progress)) >= revision;
+  }
+
+  /** The revision up to which the held evidence shows a feed to be complete. */
+  private verifiedRevision(kind: string, {era, revision}: FeedProgress): number {
+    const {held} = this;
+    if (held === undefined || held.era !== era) return 0;
+    const changedAtRevision = held.changedAtRevisions.get(kind);
+    const isUpToDate = changedAtRevision !== undefined && revision >= changedAtRevision;
+    return isUpToDate ? held.revision : 0;
+  }
+
+  /** All changes that the store acknowledged before this time are delivered; undefined while the feed lists. */
+  private verifiedAtMs(feed: BoundedFeed): number | undefined {
+    const progress = feed.progress();
+    if (progress === undefined) return undefined;
+    const {held} = this;
+    const former = this.formerVerifications.get(feed.kind);
+    const isUpToDate = held !== undefined && this.verifiedRevision(feed.kind, progress) > 0;
+    return Math.max(
+      progress.confirmedAtMs,
+      isUpToDate ? held.readAtMs : -Infinity,
+      former !== undefined && former.era === progress.era ? former.verifiedAtMs : -Infinity,
+    );
+  }
+
+  /** Makes the feeds that are behind the held evidence read again. */
+  private catchUp(): void {
+    for (const feed of this.environment.feeds()) {
+      const progress = feed.progress();
+      if (progress === undefined || !this.isBehind(feed.kind, progress)) {
+        this.catchUps.delete(feed.kind);
+      } else this.catchUpFeed(feed, progress);
+    }
+  }
+
+  private isBehind(kind: string, {era, revision}: FeedProgress): boolean {
+    const {held} = this;
+    if (held === undefined || isLaterEra(era, held.era)) return false;
+    if (areDifferentEras(era, held.era)) return true;
+    return revision < (held.changedAtRevisions.get(kind) ?? 0);
+  }
+
+  private catchUpFeed(feed: BoundedFeed, {revision}: FeedProgress): void {
+    const {environment} = this;
+    const {kind} = feed;
+    const nowMs = environment.nowMs();
+    const boundMs = environment.boundMs();
+    const catchUp = this.catchUps.get(kind);
+    if (catchUp === undefined) {
+      this.catchUps.set(kind, {nextReadAtMs: nowMs + catchUpDelayMs(boundMs), failureCount: 0});
+      environment.onBehind(kind, revision, this.held?.changedAtRevisions.get(kind) ?? 0);
+      feed.pollNow();
+      return;
+    }
+    if (nowMs < catchUp.nextReadAtMs || this.readingKinds.has(kind)) return;
+    this.readingKinds.add(kind);
+    feed.confirm(isConfirmed => {
+      this.readingKinds.delete(kind);
+      const failureCount = isConfirmed ? 0 : catchUp.failureCount + 1;
+      const delayMs = retryDelayMs(Math.max(1, failureCount), boundMs);
+      this.catchUps.set(kind, {nextReadAtMs: environment.nowMs() + delayMs, failureCount});
+    });
+  }
+}
+
+function isLaterEra(era: StoreEra, other: StoreEra): boolean {
+  return era !== undefined && other !== undefined && era > other;
+}
+
+function confirmAll(feeds: readonly BoundedFeed[], done: (areConfirmed: boolean) => void): void {
+  let remaining = feeds.length;
+  let areConfirmed = true;
+  if (remaining === 0) done(true);
+  for (const feed of feeds) {
+    feed.confirm(isConfirmed => {
+      areConfirmed &&= isConfirmed;
+      remaining -= 1;
+      if (remaining === 0) done(areConfirmed);
+    });
+  }
+}
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -21,6 +21,8 @@
 import {Defects} from './logs/defects';
 import type {Dial} from './targets/dial';
 import {EvacuationView} from './targets/evacuation_view';
+import type {RunningStoreFreshness} from './freshness';
+import {makeStoreFreshness} from './freshness';
 import {makeFeeds} from './store/gateway_feeds';
 import {GatewayMetrics} from './logs/gateway_metrics';
 import type {GatewayPages} from './pages/gateway_pages';
@@ -84,6 +86,7 @@
   private readonly ownRecord: GatewayRecord;
   private readonly registration: SelfRegistration;
   private readonly keyLease: RunningKeyLease;
+  private readonly freshness: RunningStoreFreshness;
   private fibers: readonly Fiber.RuntimeFiber<unknown, unknown>[] = [];
   private peerState: PeerState = 'starting';
   private heartbeatSequence = 0;
@@ -118,10 +121,13 @@
     this.peerExchange = this.makePeerExchange();
     this.membershipLog = new MembershipLog(this.parts.peers, this.parts.log);
     this.registration = new SelfRegistration(ports.registry, this.ownRecord, this.parts.log);
-    this.feeds = makeFeeds(this.parts, ports, isListed => this.registration.onList(isListed));
+    const feeds = makeFeeds(this.parts, ports, isListed => this.registration.onList(isListed));
+    this.feeds = feeds.all;
+    this.freshness = makeStoreFreshness(this.parts, this.ownRecord, feeds, this.startedAtMs);
     this.pages = makePages(this.parts, ports.lookupWire, {
       isReady: () => this.isReady(),
       feedStates: () => this.feedStates(),
+      freshnessAgeMs: () => this.freshness.ageMs(),
     });
   }
 
@@ -138,6 +144,7 @@
       this.parts.quotas.start();
       this.fibers = this.feeds.map(feed => Effect.runFork(feed.run()));
       this.keyLease.start();
+      this.freshness.start();
       this.parts.log.event('start', {region, failureDomain});
     });
   }
@@ -194,6 +201,7 @@
     return Effect.gen(this, function* () {
       yield* Fiber.interruptAll(this.fibers);
       this.keyLease.stop();
+      this.freshness.stop();
       this.callerServer.close();
       this.targetProber.close();
       this.parts.quotas.close();
--- a/packages/gateway/src/gateway_settings.ts
+++ b/packages/gateway/src/gateway_settings.ts
@@ -83,6 +83,7 @@
   return {
     stopGraceMs: bound('stopGraceS') * 1000,
     resyncMs: bound('resyncMs'),
+    changeMs: readChangeMs(reader),
     retryRatio: bound('retryRatio'),
     retryWindowMs: bound('retryWindowS') * 1000,
     retrySlack: bound('retrySlackRequests'),
@@ -94,6 +95,13 @@
   };
 }
 
+/** A platform that states no bound on changes expects them in force as soon as after a disruption. */
+function readChangeMs(reader: SettingsReader): number {
+  const fields = ['configurationChangeMs', 'targetDrainMs', 'evacuationMs'];
+  const bounds = fields.flatMap(field => reader.optionalNumber('bounds', field) ?? []);
+  return bounds.length === 0 ? reader.nonNegativeNumber('bounds', 'resyncMs') : Math.min(...bounds);
+}
+
 function readKeyRevocationMs(reader: SettingsReader): number | undefined {
   const boundMs = reader.optionalNumber('bounds', 'keyRevocationMs');
   return reader.flag('bounds', 'strictKeyRevocation') ? boundMs : undefined;
--- a/packages/gateway/src/gateway_types.ts
+++ b/packages/gateway/src/gateway_types.ts
@@ -114,6 +114,11 @@
   readonly stopGraceMs: number;
   /** Time after a disruption within which the gateway must be up to date again, in milliseconds. */
   readonly resyncMs: number;
+  /**
+   * Time from the store's acknowledgement of a configuration, of a target that drains or is gone, or of an evacuation, within
+   * which each gateway must act on it, in milliseconds: the shortest of these bounds.
+   */
+  readonly changeMs: number;
   /** Retries per request of a service, over all gateways. */
   readonly retryRatio: number;
   /** Window in which the retry limit holds, in milliseconds. */
--- a/packages/gateway/src/logs/gateway_metrics.ts
+++ b/packages/gateway/src/logs/gateway_metrics.ts
@@ -129,6 +129,17 @@
     registers: [this.registry],
   });
 
+  private readonly freshnessAge = new Gauge({
+    name: 'cuminsill_store_freshness_age_seconds',
+    help: 'Time for which changes in the store may be unknown to this gateway',
+    registers: [this.registry],
+  });
+  private readonly storeEvidenceResults = new Counter({
+    name: 'cuminsill_store_evidence_total',
+    help: 'Evidence of the state of the store from other gateways, by what became of it',
+    labelNames: ['result'],
+    registers: [this.registry],
+  });
   private readonly keyLeaseAge = new Gauge({
     name: 'cuminsill_key_lease_age_seconds',
     help: 'Time since the confirmed read of the store was sent on which the lease on the keys depends',
@@ -183,6 +194,14 @@
     this.keyEvidenceResults.inc({result});
   }
 
+  storeEvidence(result: string): void {
+    this.storeEvidenceResults.inc({result});
+  }
+
+  setFreshnessAge(ageMs: number | undefined): void {
+    if (ageMs !== undefined) this.freshnessAge.set(ageMs / 1000);
+  }
+
   setBodyBytes(bytes: number): void {
     this.bodyBytes.set(bytes);
   }
--- a/packages/gateway/src/pages/gateway_pages.ts
+++ b/packages/gateway/src/pages/gateway_pages.ts
@@ -18,6 +18,8 @@
 export interface PageState {
   isReady(): boolean;
   feedStates(): readonly FeedState[];
+  /** Time for which changes in the store may be unknown, in milliseconds; undefined before the first lists. */
+  freshnessAgeMs(): number | undefined;
 }
 
 /** Makes the page servers without starting them. */
@@ -64,6 +66,7 @@
       alive: parts.peers.activeGatewayNames().length,
     });
     parts.metrics.setStoreAnswerAges(state.feedStates());
+    parts.metrics.setFreshnessAge(state.freshnessAgeMs());
     parts.metrics.setKeyLease(parts.keyLease.status());
     parts.metrics.setBodyBytes(parts.bodyMemory.heldBytes);
     const body = await parts.metrics.render();
@@ -72,7 +75,7 @@
   const status = () => ({
     status: 200,
     contentType: 'application/json',
-    body: renderStatusPage(parts, state.feedStates()),
+    body: renderStatusPage(parts, state.feedStates(), state.freshnessAgeMs()),
   });
   return new PageServer(
     new Map<string, () => ReturnType<typeof status> | ReturnType<typeof metrics>>([
--- a/packages/gateway/src/pages/status_page.ts
+++ b/packages/gateway/src/pages/status_page.ts
@@ -14,6 +14,8 @@
   readonly gateway: string;
   readonly configVersion: number;
   readonly feeds: readonly FeedState[];
+  /** Time for which changes in the store may be unknown, in milliseconds; undefined before the first lists. */
+  readonly storeFreshnessAgeMs: number | undefined;
   readonly evacuatedDomains: readonly string[];
   readonly gateways: readonly string[];
   readonly routes: readonly RouteRule[];
@@ -40,13 +42,18 @@
 }
 
 /** Returns the page as JSON text. */
-export function renderStatusPage(parts: GatewayParts, feeds: readonly FeedState[]): string {
+export function renderStatusPage(
+  parts: GatewayParts,
+  feeds: readonly FeedState[],
+  freshnessAgeMs: number | undefined,
+): string {
   const nowMs = parts.time.monotonicMs();
   const {routes, version} = parts.configuration;
   const status: GatewayStatus = {
     gateway: parts.settings.value.name,
     configVersion: version,
     feeds,
+    storeFreshnessAgeMs: freshnessAgeMs === undefined ? undefined : Math.round(freshnessAgeMs),
     evacuatedDomains: [...parts.evacuations.evacuatedDomains],
     gateways: parts.peers.activeGatewayNames(),
     routes: routes?.configuration.routes ?? [],
--- a/packages/gateway/src/store/gateway_feeds.ts
+++ b/packages/gateway/src/store/gateway_feeds.ts
@@ -12,6 +12,14 @@
 /** A view that takes lists and changes but does not handle outages of the store. */
 type ObjectView<Content> = Pick<FeedSink<Content>, 'replace' | 'apply'>;
 
+/** The feeds of a gateway. */
+export interface GatewayFeeds {
+  readonly all: ReadonlyArray<ObjectFeed<unknown>>;
+  /** Feeds of objects whose changes must take effect within a bound. Heartbeats show which gateways are alive. */
+  readonly bounded: ReadonlyArray<ObjectFeed<unknown>>;
+  readonly circuit: Pick<StoreCircuit, 'isClosed'>;
+}
+
 /**
  * Makes the feeds of a gateway; each runs until interrupted.
  * @param onOwnRecord Called with whether the gateway's own record is listed, after each change of the gateways' records.
@@ -20,7 +28,7 @@
   parts: GatewayParts,
   ports: GatewayPorts,
   onOwnRecord: (isListed: boolean) => void,
-): ReadonlyArray<ObjectFeed<unknown>> {
+): GatewayFeeds {
   const {configuration, targets, evacuations, peers} = parts;
   const gatewayView: ObjectView<GatewayRecord> = {
     replace: list => {
@@ -32,22 +40,23 @@
       onOwnRecord(peers.isOwnRecordListed);
     },
   };
-  const feeds: ObjectFeed<unknown>[] = [];
+  const all: ObjectFeed<unknown>[] = [];
+  const circuit = new StoreCircuit();
   const context: FeedContext = {
     parts,
-    circuit: new StoreCircuit(),
+    circuit,
     onOutageEnded: (outageMs, callStartedAtMs) => {
       targets.onStoreConnected(outageMs);
-      for (const feed of feeds) feed.resync(callStartedAtMs);
+      for (const feed of all) feed.resync(callStartedAtMs);
     },
   };
-  feeds.push(
+  const bounded = [
     makeFeed(context, ports.configurations, 'prompt', configuration, parts.keyLease.confirmation),
     makeFeed(context, ports.evacuations, 'prompt', evacuations),
     makeFeed(context, ports.targets, 'batched', targets),
-    makeFeed(context, ports.gateways, 'relaxed', gatewayView),
-  );
-  return feeds;
+  ];
+  all.push(...bounded, makeFeed(context, ports.gateways, 'relaxed', gatewayView));
+  return {all, bounded, circuit};
 }
 
 /** What the feeds of a gateway share. */
--- a/packages/gateway/src/store/store_circuit.ts
+++ b/packages/gateway/src/store/store_circuit.ts
@@ -14,6 +14,11 @@
   /** Wake the feeds that wait for an answer of the store. */
   private readonly waiting = new Set<() => void>();
 
+  /** Whether the store answers as far as is known. */
+  get isClosed(): boolean {
+    return !this.isOpen;
+  }
+
   /** Completes when the feed may call the store. */
   admit(feed: string): Effect.Effect<void> {
     return Effect.suspend(() => {
--- a/packages/standins/src/users_platform/object_store_server.ts
+++ b/packages/standins/src/users_platform/object_store_server.ts
@@ -31,8 +31,7 @@
   losesWriteAnswers: false,
 };
 
-/** Maximum number of objects in a page of a list. */
-const pageSize = 500;
+const defaultPageSize = 500;
 const objectsPath = /^\/cuminsill\/objects\/([^/]+)(?:\/([^/]+?))?(\/status)?$/;
 
 interface StoreCall {
@@ -43,6 +42,15 @@
   readonly body: Readonly<Record<string, unknown>>;
 }
 
+interface Watch {
+  readonly kind: string;
+  /** Revision after which changes are returned. */
+  readonly revision: number;
+  readonly waitMs: number;
+  /** Age of the state that is read, in milliseconds. */
+  readonly lagMs: number;
+}
+
 interface Reply {
   readonly status: number;
   readonly body: unknown;
@@ -56,6 +64,12 @@
   fault: ObjectStoreFault = noObjectStoreFault;
   /** Changes the JSON text of answers; for content that cannot be made from values, such as numbers out of range. */
   rewriteAnswer: (text: string) => string = text => text;
+  /** Serializable reads return a state of this age, in milliseconds. */
+  serializableLagMs = 0;
+  /** Maximum number of objects in a page of a list. */
+  pageSize = defaultPageSize;
+  /** Called when a page of a list has been read, before it is answered. */
+  onPageRead: (kind: string, afterName: string) => void = () => undefined;
   /** Received calls as `METHOD kind`, in order. */
   readonly calls: string[] = [];
   private era = 1;
@@ -157,43 +171,55 @@
     }
     const watch = query.get('watch');
     if (watch === null) return this.list(kind, query.get('after') ?? '');
-    this.watch(kind, Number(watch), Number(query.get('waitMs') ?? 0), response);
+    const lagMs = query.get('serializable') === '1' ? this.serializableLagMs : 0;
+    const waitMs = Number(query.get('waitMs') ?? 0);
+    this.watch({kind, revision: Number(watch), waitMs, lagMs}, response);
     return undefined;
   }
 
   private list(kind: string, after: string): Reply {
     const objects = this.table.list(kind).filter(({metadata}) => metadata.name > after);
-    const items = objects.slice(0, pageSize);
-    const hasMore = objects.length > pageSize;
-    return {status: 200, body: {items, hasMore, asOf: this.table.revision}};
+    const items = objects.slice(0, this.pageSize);
+    const hasMore = objects.length > this.pageSize;
+    const body = {items, hasMore, asOf: this.table.revision};
+    this.onPageRead(kind, after);
+    return {status: 200, body};
   }
 
-  private watch(
-    kind: string,
-    revision: number,
-    waitMs: number,
-    response: http.ServerResponse,
-  ): void {
+  private watch({kind, revision, waitMs, lagMs}: Watch, response: http.ServerResponse): void {
+    // A watch never goes back behind the revision that it starts from.
+    const visibleRevision = () =>
+      Math.max(revision, this.table.revisionAt(performance.now() - lagMs));
+    const visibleEvents = () => {
+      const asOf = visibleRevision();
+      return this.table.changesAfter(kind, revision)?.filter(event => event.revision <= asOf);
+    };
     const answer = (events: readonly ObjectEvent[]) => {
-      const visibleEvents = events.map(({object, deleted}) => ({object, deleted}));
-      finish({status: 200, body: {events: visibleEvents, asOf: this.table.revision}});
+      const changes = events.map(({object, deleted}) => ({object, deleted}));
+      finish({status: 200, body: {events: changes, asOf: visibleRevision()}});
     };
     const finish = (reply: Reply) => {
-      clearTimeout(timer);
-      unsubscribe();
+      stopWatching();
       this.answer(response, reply);
     };
     const checkForChanges = () => {
-      const events = this.table.changesAfter(kind, revision);
+      const events = visibleEvents();
       if (events === undefined) finish({status: 410, body: {}});
       else if (events.length > 0) answer(events);
     };
-    const timer = setTimeout(() => answer([]), waitMs);
-    const unsubscribe = this.table.onChange(checkForChanges);
-    response.once('close', () => {
-      clearTimeout(timer);
+    const onChange = () => {
+      checkForChanges();
+      if (lagMs > 0) timers.push(setTimeout(checkForChanges, lagMs + 1));
+    };
+    const timers = [setTimeout(() => answer(visibleEvents() ?? []), waitMs)];
+    // Changes from before this call may become visible during it.
+    if (lagMs > 0) timers.push(setTimeout(checkForChanges, lagMs + 1));
+    const unsubscribe = this.table.onChange(onChange);
+    const stopWatching = () => {
+      for (const timer of timers) clearTimeout(timer);
       unsubscribe();
-    });
+    };
+    response.once('close', stopWatching);
     checkForChanges();
   }
 
--- a/packages/standins/src/users_platform/object_table.ts
+++ b/packages/standins/src/users_platform/object_table.ts
@@ -19,6 +19,8 @@
   readonly kind: string;
   readonly object: StoredObject;
   readonly deleted: boolean;
+  /** When the store acknowledged it, on the monotonic clock in milliseconds. */
+  readonly acknowledgedAtMs: number;
 }
 
 /** Result of a write as an HTTP status, with the object as it is now. */
@@ -96,7 +98,7 @@
     }
     this.kinds.get(kind)?.delete(name);
     this.currentRevision += 1;
-    this.recordEvent({revision: this.currentRevision, kind, object: existing, deleted: true});
+    this.recordEvent(kind, existing, true);
     return {status: 200, object: existing};
   }
 
@@ -120,6 +122,12 @@
     return this.events.filter(event => event.kind === kind && event.revision > revision);
   }
 
+  /** The latest revision that was acknowledged by a time; `revision` if the history does not go back that far. */
+  revisionAt(timeMs: number): number {
+    const later = this.events.find(({acknowledgedAtMs}) => acknowledgedAtMs > timeMs);
+    return later === undefined ? this.currentRevision : later.revision - 1;
+  }
+
   /** Drops the history, so that watches from an older revision fail. */
   dropHistory(): void {
     this.events = [];
@@ -150,12 +158,13 @@
     const objects = this.kinds.get(kind) ?? new Map<string, StoredObject>();
     this.kinds.set(kind, objects);
     objects.set(object.metadata.name, object);
-    this.recordEvent({revision: this.currentRevision, kind, object, deleted: false});
+    this.recordEvent(kind, object, false);
     return {status: 200, object};
   }
 
-  private recordEvent(event: ObjectEvent): void {
-    this.events.push(event);
+  private recordEvent(kind: string, object: StoredObject, deleted: boolean): void {
+    const acknowledgedAtMs = performance.now();
+    this.events.push({revision: this.currentRevision, kind, object, deleted, acknowledgedAtMs});
     this.notifyListeners();
   }
 
--- a/packages/standins/src/users_platform/wire_objects.ts
+++ b/packages/standins/src/users_platform/wire_objects.ts
@@ -133,6 +133,12 @@
 /** Time after a disruption from which on the platform expects a gateway to keep all bounds again, in milliseconds. */
 export const settleAfterDisruptionMs = 3_000;
 
+/**
+ * Times in milliseconds, from the store's acknowledgement of a change, after which the platform expects a gateway to act on it:
+ * a new configuration, a target that drains or is gone, and an evacuation.
+ */
+export const changeBounds = {configApplyMs: 2_500, drainMs: 2_500, evacuateMs: 5_000} as const;
+
 /** Makes the fields that the platform passes to the template, for a gateway on the loopback address. */
 export function templateFields(
   host: string,
@@ -161,6 +167,7 @@
       coldOvershoot: 1.5,
       coldSlack: 5,
       ttl_max_s: 5,
+      ...changeBounds,
       ...(place.keyRevocationMs === undefined
         ? {}
         : {revokeStrict: true, revokeMs: place.keyRevocationMs}),
