--- a/packages/gateway/__tests__/object_feed.test.ts
+++ b/packages/gateway/__tests__/object_feed.test.ts
@@ -108,6 +108,36 @@
   });
 });
 
+/** Guards against lists, the most expensive reads, as fast as the store answers while it never has the history after them. */
+test('pauses between lists while the history keeps going', async () => {
+  const {sink} = recordingSink();
+  let lists = 0;
+  const source: ObjectSource<string> = {
+    kind: 'things',
+    list: () => Effect.sync(() => ({objects: [], revision: ++lists})),
+    changesAfter: () => Effect.fail(new SourceError('history-gone', 'scripted')),
+    confirmedChangesAfter: () => Effect.never,
+  };
+  const timing = {maxWaitMs, answerTimeoutMs: 1, listTimeoutMs: 1, minIntervalMs: 1};
+  const feed = new ObjectFeed(
+    source,
+    () => timing,
+    sink,
+    new ManualTime(),
+    () => 1,
+  );
+  const steps = Effect.gen(function* () {
+    const fiber = yield* Effect.fork(feed.run());
+    yield* TestClock.adjust('50 millis');
+    expect(lists).toBe(2);
+    yield* TestClock.adjust('10 seconds');
+    expect(lists).toBeGreaterThan(10);
+    expect(lists).toBeLessThan(20);
+    yield* Fiber.interrupt(fiber);
+  });
+  await Effect.runPromise(Effect.provide(steps, TestContext.TestContext));
+});
+
 /** Guards against a feed that waits on for an answer that was lost, while another feed knows that the store is back. */
 test('a call that started before the given time is made again at once', async () => {
   const waits: number[] = [];
--- a/packages/gateway/src/store/object_feed.ts
+++ b/packages/gateway/src/store/object_feed.ts
@@ -97,6 +97,8 @@
   private confirmedAtMs = Number.NEGATIVE_INFINITY;
   private connected = false;
   private consecutiveFailures = 0;
+  /** Times in a row that the store did not have the history after a list. */
+  private consecutiveGaps = 0;
   private answeredAtMs: number | undefined;
   private callStartedAtMs = 0;
   private firstFailedCallAtMs: number | undefined;
@@ -282,6 +284,7 @@
         this.revision = undefined;
         return;
       }
+      this.consecutiveGaps = 0;
       this.era ??= changes.era;
       // A confirmed read may have gone further in the meantime, and these changes may be older than what it has delivered.
       if (this.changedAtRevision <= revision) this.deliver(changes, revision);
@@ -328,7 +331,10 @@
   private onFailure(error: SourceError): Effect.Effect<void> {
     if (error.failure === 'history-gone') {
       this.revision = undefined;
-      return Effect.void;
+      this.consecutiveGaps += 1;
+      return this.consecutiveGaps === 1
+        ? Effect.void
+        : Effect.sleep(this.backoffMs(this.consecutiveGaps - 1));
     }
     if (error.failure === 'undeliverable') return Effect.sleep(maxBackoffMs);
     if (error.failure === 'unavailable') {
@@ -336,10 +342,15 @@
       this.onUnavailable(error, this.callStartedAtMs);
     }
     this.consecutiveFailures += 1;
-    const backoffMs = Math.min(maxBackoffMs, firstBackoffMs * 2 ** (this.consecutiveFailures - 1));
-    // Jitter spreads the calls of the gateways after an outage. A call that has timed out has waited already.
+    // A call that has timed out has waited already.
     const elapsedMs = this.time.monotonicMs() - this.callStartedAtMs;
-    return Effect.sleep(Math.max(0, backoffMs * (0.5 + this.random() / 2) - elapsedMs));
+    return Effect.sleep(Math.max(0, this.backoffMs(this.consecutiveFailures) - elapsedMs));
+  }
+
+  /** Jitter spreads the calls of the gateways after an outage. */
+  private backoffMs(failureCount: number): number {
+    const maxMs = Math.min(maxBackoffMs, firstBackoffMs * 2 ** (failureCount - 1));
+    return maxMs * (0.5 + this.random() / 2);
   }
 }
 
--- a/packages/gateway/src/store/object_source.ts
+++ b/packages/gateway/src/store/object_source.ts
@@ -42,6 +42,22 @@
   readonly era?: StoreEra;
 }
 
+/**
+ * Applies changes in their order to a list. Objects of the list may be newer than its revision, as far as the changes go: the last
+ * change of an object decides.
+ */
+export function listAfterChanges<Content>(
+  list: ObjectList<Content>,
+  {changes, revision}: ObjectChanges<Content>,
+): ObjectList<Content> {
+  const objects = new Map(list.objects.map(object => [object.name, object]));
+  for (const {object, deleted} of changes) {
+    if (deleted) objects.delete(object.name);
+    else objects.set(object.name, object);
+  }
+  return {...list, objects: [...objects.values()], revision};
+}
+
 /** Why a call to the store failed. */
 export type SourceFailure = 'history-gone' | 'rate-limited' | 'unavailable' | 'undeliverable';
 
@@ -61,7 +77,7 @@
 export interface ObjectSource<Content> {
   readonly kind: string;
   /**
-   * Lists all objects by linearizable reads.
+   * Lists all objects as of one revision, by linearizable reads.
    * @param timeoutMs Time after which a call for one page is given up.
    */
   list(timeoutMs: number): Effect.Effect<ObjectList<Content>, SourceError>;
