Let watches wait 10 s, since evidence shows a watch that has missed a change

Cause: a watch waited 1.25 to 3 s only because a lost answer shows by its timeout. Each wait is a priced call, and most calls in calm were these. With evidence of other gateways and own reads, a change is known in its bound whether watches are answered or not, so the wait no longer decides how late a change is seen.

The bounds on list and answer timeouts are asserted as before.

--- a/packages/gateway/src/store/feed_timing.ts
+++ b/packages/gateway/src/store/feed_timing.ts
@@ -1,6 +1,7 @@
 /**
- * Timing of the calls of the feeds, from the time in which a gateway must be up to date again after a disruption. A call whose
- * answer is lost shows only by its timeout, so that timeout bounds how late a change is seen.
+ * Timing of the calls of the feeds. A watch whose answer is lost delays no change: the freshness of the store's state bounds that
+ * (`freshness/`), and ends a watch that has missed one. Lists are given up early enough to be made again in the time in which a
+ * gateway must be up to date after a disruption.
  */
 
 /** Timing of the calls of a feed. */
@@ -20,24 +21,23 @@
 
 /** A call without an answer is given up within this fraction of the time; the rest is for the calls that follow. */
 const detectionFraction = 0.75;
-/** Longest wait of a call on which requests depend. */
-const maxPromptWaitMs = 3_000;
+/** Watches are priced each; half of the usual length of the store's history, so that a watch that is cut can be resumed. */
+const watchWaitMs = 10_000;
 const maxAnswerTimeoutMs = 1_000;
 const maxListTimeoutMs = 2_000;
 
 interface UrgencyTiming {
   readonly minIntervalMs: number;
-  /** Undefined when the wait follows from the time in which the gateway must be up to date again. */
-  readonly fixedWaitMs: number | undefined;
+  readonly maxWaitMs: number;
 }
 
 const urgencies: Readonly<Record<FeedUrgency, UrgencyTiming>> = {
   /** Configurations and evacuations change rarely and must take effect at once. */
-  prompt: {minIntervalMs: 50, fixedWaitMs: undefined},
+  prompt: {minIntervalMs: 50, maxWaitMs: watchWaitMs},
   /** Targets change often; the interval lets one call fetch several changes. */
-  batched: {minIntervalMs: 600, fixedWaitMs: undefined},
+  batched: {minIntervalMs: 600, maxWaitMs: watchWaitMs},
   /** Heartbeats show which gateways are alive, so their list may lag. */
-  relaxed: {minIntervalMs: 500, fixedWaitMs: 20_000},
+  relaxed: {minIntervalMs: 500, maxWaitMs: 20_000},
 };
 
 /**
@@ -45,13 +45,11 @@
  * @param resyncMs Time after a disruption within which the gateway must be up to date again.
  */
 export function feedTiming(urgency: FeedUrgency, resyncMs: number): FeedTiming {
-  const {minIntervalMs, fixedWaitMs} = urgencies[urgency];
+  const {minIntervalMs, maxWaitMs} = urgencies[urgency];
   const detectionMs = resyncMs * detectionFraction;
-  const answerTimeoutMs = Math.min(maxAnswerTimeoutMs, detectionMs / 2);
-  const waitMs = Math.min(maxPromptWaitMs, detectionMs - answerTimeoutMs);
   return {
-    maxWaitMs: Math.floor(fixedWaitMs ?? waitMs),
-    answerTimeoutMs,
+    maxWaitMs,
+    answerTimeoutMs: Math.min(maxAnswerTimeoutMs, detectionMs / 2),
     listTimeoutMs: Math.min(maxListTimeoutMs, detectionMs),
     minIntervalMs,
   };
