Split catching up with evidence from the freshness of the store

Reading and passing on evidence, and making feeds that are behind it read again, are two jobs; each has a file now. Tests that repeated the same sinks share them. No logic changed: store_freshness, store_circuit, concurrent_reads and object_feed pass (43 tests).

--- a/packages/gateway/__fixtures__/freshness_fleet.ts
+++ b/packages/gateway/__fixtures__/freshness_fleet.ts
@@ -7,7 +7,7 @@
 import {readerRank} from '../src/freshness/reader_rank';
 import type {StoreEvidence} from '../src/freshness/store_evidence';
 import {encodeEvidence} from '../src/freshness/store_evidence';
-import type {BoundedFeed} from '../src/freshness/store_freshness';
+import type {BoundedFeed} from '../src/freshness/bounded_feed';
 import {StoreFreshness} from '../src/freshness/store_freshness';
 import {heartbeatTimeoutMs} from '../src/peers/peer_table';
 import type {FeedProgress} from '../src/store/object_feed';
--- a/packages/gateway/__tests__/concurrent_reads.test.ts
+++ b/packages/gateway/__tests__/concurrent_reads.test.ts
@@ -55,6 +55,17 @@
   return {changes: [], revision, era: 1};
 }
 
+/** Records the contents that are delivered, and failures. */
+function recordingSink(seen: string[]): FeedSink<string> {
+  return {
+    replace: () => undefined,
+    apply: ({changes}) => seen.push(...changes.map(({object}) => object.content ?? '')),
+    onConnected: () => undefined,
+    onDisconnected: () => seen.push('lost'),
+    onDefect: error => seen.push(String(error)),
+  };
+}
+
 interface Case {
   readonly name: string;
   /** Calls that are answered in turn, a watch and a linearizable read having been sent. */
@@ -119,15 +130,8 @@
 test.each(cases)('$name', async ({answers, events, isConfirmed, lastCall}) => {
   const source = new HeldSource();
   const seen: string[] = [];
-  const sink: FeedSink<string> = {
-    replace: () => undefined,
-    apply: ({changes}) => seen.push(...changes.map(({object}) => object.content ?? '')),
-    onConnected: () => undefined,
-    onDisconnected: () => seen.push('lost'),
-    onDefect: error => seen.push(String(error)),
-  };
   const timing = {maxWaitMs: 5, answerTimeoutMs: 1, listTimeoutMs: 1, minIntervalMs: 0};
-  const feed = new ObjectFeed(source, () => timing, sink, new ManualTime());
+  const feed = new ObjectFeed(source, () => timing, recordingSink(seen), new ManualTime());
   const run = Effect.runFork(feed.run());
   const settle = () => new Promise(resolve => setTimeout(resolve, 10));
   await settle();
@@ -146,15 +150,8 @@
 /** Guards against a change that another gateway has seen and that waits for the end of the pause between two calls. */
 test('a call at once cuts the pause after an answer short', async () => {
   const source = new HeldSource();
-  const sink: FeedSink<string> = {
-    replace: () => undefined,
-    apply: () => undefined,
-    onConnected: () => undefined,
-    onDisconnected: () => undefined,
-    onDefect: () => undefined,
-  };
   const timing = {maxWaitMs: 5, answerTimeoutMs: 1, listTimeoutMs: 1, minIntervalMs: 60_000};
-  const feed = new ObjectFeed(source, () => timing, sink, new ManualTime());
+  const feed = new ObjectFeed(source, () => timing, recordingSink([]), new ManualTime());
   const run = Effect.runFork(feed.run());
   await new Promise(resolve => setTimeout(resolve, 10));
   expect(source.calls).toEqual([]);
--- a/packages/gateway/__tests__/store_circuit.test.ts
+++ b/packages/gateway/__tests__/store_circuit.test.ts
@@ -10,6 +10,13 @@
 import {StoreCircuit} from '../src/store/store_circuit';
 
 const feedCount = 4;
+const sink = {
+  replace: () => undefined,
+  apply: () => undefined,
+  onConnected: () => undefined,
+  onDisconnected: () => undefined,
+  onDefect: () => undefined,
+};
 const timing = () => ({
   maxWaitMs: 2_000,
   answerTimeoutMs: 1_000,
@@ -42,13 +49,6 @@
     changesAfter: () => Effect.map(answer(feed), revision => ({changes: [], revision})),
     confirmedChangesAfter: () => Effect.map(answer(feed), revision => ({changes: [], revision})),
   });
-  const sink = {
-    replace: () => undefined,
-    apply: () => undefined,
-    onConnected: () => undefined,
-    onDisconnected: () => undefined,
-    onDefect: () => undefined,
-  };
   const pass = (seconds: number) =>
     Effect.forEach(Array.from({length: seconds * 10}), () => {
       time.advance(100);
@@ -98,13 +98,6 @@
       }),
     confirmedChangesAfter: () => Effect.never,
   };
-  const sink = {
-    replace: () => undefined,
-    apply: () => undefined,
-    onConnected: () => undefined,
-    onDisconnected: () => undefined,
-    onDefect: () => undefined,
-  };
   const time = new ManualTime();
   const briefly = () => ({...timing(), minIntervalMs: 0});
   const feed = new ObjectFeed(source, briefly, sink, time, () => 1, circuit);
--- /dev/null
+++ b/packages/gateway/src/freshness/bounded_feed.ts
@@ -0,0 +1,13 @@
+/** The part of a feed that keeps it fresh. */
+import type {FeedProgress} from '../store/object_feed';
+
+/** A feed of objects whose changes must take effect within a bound. */
+export interface BoundedFeed {
+  readonly kind: string;
+  /** Undefined while the feed lists, which is a linearizable read. */
+  progress(): FeedProgress | undefined;
+  /** Makes a serializable read at once. */
+  pollNow(): void;
+  /** Makes a linearizable read and delivers its result before `done` is called with whether it has confirmed anything. */
+  confirm(done: (isConfirmed: boolean) => void): void;
+}
--- a/packages/gateway/src/freshness/make_store_freshness.ts
+++ b/packages/gateway/src/freshness/make_store_freshness.ts
@@ -9,7 +9,8 @@
 import {readerRank} from './reader_rank';
 import type {StoreEvidence} from './store_evidence';
 import {encodeEvidence} from './store_evidence';
-import type {BoundedFeed, FreshnessEnvironment} from './store_freshness';
+import type {BoundedFeed} from './bounded_feed';
+import type {FreshnessEnvironment} from './store_freshness';
 import {StoreFreshness} from './store_freshness';
 
 /** Feature of gateways that read the store for others and use what others have read. */
--- a/packages/gateway/src/freshness/store_freshness.ts
+++ b/packages/gateway/src/freshness/store_freshness.ts
@@ -9,39 +9,20 @@
 import type {JsonObject} from '@cuminsill/utils';
 import type {FeedProgress} from '../store/object_feed';
 import type {StoreEra} from '../store/object_source';
-import {areDifferentEras} from '../store/object_source';
-import {
-  catchUpDelayMs,
-  minReadAgeMs,
-  rankDelayMs,
-  readAgeMs,
-  retryDelayMs,
-} from './freshness_timing';
+import {isLaterEra} from '../store/object_source';
+import type {BoundedFeed} from './bounded_feed';
+import type {CatchUpEnvironment} from './feed_catch_up';
+import {FeedCatchUp} from './feed_catch_up';
+import {minReadAgeMs, rankDelayMs, readAgeMs, retryDelayMs} from './freshness_timing';
 import type {StoreEvidence} from './store_evidence';
 import {decodeEvidence} from './store_evidence';
 
-/** A feed of objects whose changes must take effect within a bound. */
-export interface BoundedFeed {
-  readonly kind: string;
-  /** Undefined while the feed lists, which is a linearizable read. */
-  progress(): FeedProgress | undefined;
-  /** Makes a serializable read at once. */
-  pollNow(): void;
-  /** Makes a linearizable read and delivers its result before `done` is called with whether it has confirmed anything. */
-  confirm(done: (isConfirmed: boolean) => void): void;
-}
-
 /** What became of evidence from another gateway. */
 export type EvidenceResult = 'fresher' | 'known' | 'older' | 'unreadable';
 
 /** What the bound depends on. */
-export interface FreshnessEnvironment {
+export interface FreshnessEnvironment extends CatchUpEnvironment {
   readonly ownName: string;
-  /** Monotonic clock. */
-  nowMs(): number;
-  /** Time from the store's acknowledgement of a change until it must take effect. */
-  boundMs(): number;
-  feeds(): readonly BoundedFeed[];
   /** False while the store turns this gateway away. */
   isStoreAvailable(): boolean;
   /** Position of this gateway in the order of readers. */
@@ -51,8 +32,6 @@
   /** Passes on evidence of another gateway. */
   forward(evidence: StoreEvidence): void;
   onEvidence(result: EvidenceResult): void;
-  /** Called when a feed is behind what another gateway has read. */
-  onBehind(kind: string, revision: number, changedAtRevision: number): void;
 }
 
 /** Until when the changes of a kind are known by evidence that is no longer held. */
@@ -61,21 +40,13 @@
   readonly verifiedAtMs: number;
 }
 
-/** A feed that is behind the evidence. */
-interface CatchUp {
-  /** When the next linearizable read may be made. */
-  readonly nextReadAtMs: number;
-  readonly failureCount: number;
-}
-
 /** Keeps the feeds of one gateway fresh. */
 export class StoreFreshness {
   private held: StoreEvidence | undefined;
   private readonly formerVerifications = new Map<string, FormerVerification>();
   /** Number of the latest evidence of each reader. */
   private readonly numbers = new Map<string, number>();
-  private readonly catchUps = new Map<string, CatchUp>();
-  private readonly readingKinds = new Set<string>();
+  private readonly catchUp: FeedCatchUp;
   private isReading = false;
   private failureCount = 0;
   private nextReadAtMs = -Infinity;
@@ -85,7 +56,9 @@
   constructor(
     private readonly environment: FreshnessEnvironment,
     private lastNumber: number,
-  ) {}
+  ) {
+    this.catchUp = new FeedCatchUp(environment);
+  }
 
   /** Time for which changes may be unknown, in milliseconds; undefined while all feeds list. */
   ageMs(): number | undefined {
@@ -102,7 +75,7 @@
     if (isAvailable && !this.wasStoreAvailable) this.delayByRank();
     this.wasStoreAvailable = isAvailable;
     if (!isAvailable) return;
-    this.catchUp();
+    this.catchUp.update(this.held);
     if (this.isReadDue()) this.read();
   }
 
@@ -117,7 +90,7 @@
     if (result !== 'fresher') return;
     this.hold(evidence);
     environment.forward(evidence);
-    if (environment.isStoreAvailable()) this.catchUp();
+    if (environment.isStoreAvailable()) this.catchUp.update(evidence);
   }
 
   /** Remembers what the former evidence has shown: a feed that is behind the new one is as fresh as before. */
@@ -233,49 +206,6 @@
       former !== undefined && former.era === progress.era ? former.verifiedAtMs : -Infinity,
     );
   }
-
-  /** Makes the feeds that are behind the held evidence read again. */
-  private catchUp(): void {
-    for (const feed of this.environment.feeds()) {
-      const progress = feed.progress();
-      if (progress === undefined || !this.isBehind(feed.kind, progress)) {
-        this.catchUps.delete(feed.kind);
-      } else this.catchUpFeed(feed, progress);
-    }
-  }
-
-  private isBehind(kind: string, {era, revision}: FeedProgress): boolean {
-    const {held} = this;
-    if (held === undefined || isLaterEra(era, held.era)) return false;
-    if (areDifferentEras(era, held.era)) return true;
-    return revision < (held.changedAtRevisions.get(kind) ?? 0);
-  }
-
-  private catchUpFeed(feed: BoundedFeed, {revision}: FeedProgress): void {
-    const {environment} = this;
-    const {kind} = feed;
-    const nowMs = environment.nowMs();
-    const boundMs = environment.boundMs();
-    const catchUp = this.catchUps.get(kind);
-    if (catchUp === undefined) {
-      this.catchUps.set(kind, {nextReadAtMs: nowMs + catchUpDelayMs(boundMs), failureCount: 0});
-      environment.onBehind(kind, revision, this.held?.changedAtRevisions.get(kind) ?? 0);
-      feed.pollNow();
-      return;
-    }
-    if (nowMs < catchUp.nextReadAtMs || this.readingKinds.has(kind)) return;
-    this.readingKinds.add(kind);
-    feed.confirm(isConfirmed => {
-      this.readingKinds.delete(kind);
-      const failureCount = isConfirmed ? 0 : catchUp.failureCount + 1;
-      const delayMs = retryDelayMs(Math.max(1, failureCount), boundMs);
-      this.catchUps.set(kind, {nextReadAtMs: environment.nowMs() + delayMs, failureCount});
-    });
-  }
-}
-
-function isLaterEra(era: StoreEra, other: StoreEra): boolean {
-  return era !== undefined && other !== undefined && era > other;
 }
 
 function confirmAll(feeds: readonly BoundedFeed[], done: (areConfirmed: boolean) => void): void {
--- a/packages/gateway/src/store/object_source.ts
+++ b/packages/gateway/src/store/object_source.ts
@@ -22,6 +22,11 @@
   return first !== undefined && second !== undefined && first !== second;
 }
 
+/** True if an era is known to be later than another. */
+export function isLaterEra(era: StoreEra, other: StoreEra): boolean {
+  return era !== undefined && other !== undefined && era > other;
+}
+
 /** All objects of a kind at a revision. */
 export interface ObjectList<Content> {
   readonly objects: readonly SourceObject<Content>[];
