Say why a lost answer needs a timeout, and name the latest numbers of readers

The head of feed_timing.ts had lost the reason that a call without an answer shows only by its timeout.

--- a/packages/gateway/src/freshness/store_freshness.ts
+++ b/packages/gateway/src/freshness/store_freshness.ts
@@ -45,7 +45,7 @@
   private held: StoreEvidence | undefined;
   private readonly formerVerifications = new Map<string, FormerVerification>();
   /** Number of the latest evidence of each reader. */
-  private readonly numbers = new Map<string, number>();
+  private readonly latestNumbers = new Map<string, number>();
   private readonly catchUp: FeedCatchUp;
   private isReading = false;
   private failureCount = 0;
@@ -86,7 +86,7 @@
     const result = this.judge(evidence);
     environment.onEvidence(result);
     if (evidence === undefined || result === 'unreadable') return;
-    if (result !== 'known') this.numbers.set(evidence.reader, evidence.number);
+    if (result !== 'known') this.latestNumbers.set(evidence.reader, evidence.number);
     if (result !== 'fresher') return;
     this.hold(evidence);
     environment.forward(evidence);
@@ -110,7 +110,7 @@
     const {held, environment} = this;
     const {reader, number, era, readAtMs} = evidence;
     if (reader === environment.ownName) return 'known';
-    if (number <= (this.numbers.get(reader) ?? -1)) return 'known';
+    if (number <= (this.latestNumbers.get(reader) ?? -1)) return 'known';
     if (held === undefined || isLaterEra(era, held.era)) return 'fresher';
     if (isLaterEra(held.era, era)) return 'older';
     return readAtMs > held.readAtMs ? 'fresher' : 'older';
--- a/packages/gateway/src/store/feed_timing.ts
+++ b/packages/gateway/src/store/feed_timing.ts
@@ -1,7 +1,7 @@
 /**
- * Timing of the calls of the feeds. A watch whose answer is lost delays no change: the freshness of the store's state bounds that
- * (`freshness/`), and ends a watch that has missed one. Lists are given up early enough to be made again in the time in which a
- * gateway must be up to date after a disruption.
+ * Timing of the calls of the feeds. A call whose answer is lost shows only by its timeout. For a watch that delays no change: the
+ * freshness of the store's state (`freshness/`) ends a watch that has missed one. Lists, and the part of a call beyond its wait, are
+ * given up early enough to be made again in the time in which a gateway must be up to date after a disruption.
  */
 
 /** Timing of the calls of a feed. */
@@ -21,7 +21,7 @@
 
 /** A call without an answer is given up within this fraction of the time; the rest is for the calls that follow. */
 const detectionFraction = 0.75;
-/** Watches are priced each; half of the usual length of the store's history, so that a watch that is cut can be resumed. */
+/** Each watch has a price, so it waits long; half of the store's usual history of 20 s, so that a watch that is cut can be resumed. */
 const watchWaitMs = 10_000;
 const maxAnswerTimeoutMs = 1_000;
 const maxListTimeoutMs = 2_000;
